Whole path from caller to worker, as separate processes

Cause: nothing was there; the first need is one thin path through the real frame: log, entry daemons, workers, operators' client.

Weighed and ruled out: a synchronous call per running task (a thread each at the holder, and no way to ask for a result after a silent connection) against starting tasks and polling each worker for results; the latter is built.

Change: reducer over the log, membership with backed changes and promises, team ledgers with permits, pool desks with weighted shares, worker sessions, HTTP interfaces, client, stand-ins, demo script.

--- /dev/null
+++ b/Source/Core/Common/JsonFields.h
@@ -0,0 +1,85 @@
+#pragma once
+
+#include "Common/StrongType.h"
+
+#include <nlohmann/json.hpp>
+#include <optional>
+#include <string_view>
+
+/// JSON forms of the strong types. For adapters and codecs only.
+namespace Common {
+
+using json = nlohmann::json;
+
+/// Identifier of our own exceptions among those of the JSON library.
+constexpr int jsonOtherError = 501;
+
+template <typename Tag>
+void to_json(json& out, const text_id<Tag>& id) { out = id.value; }
+
+template <typename Tag>
+void from_json(const json& in, text_id<Tag>& id) { id.value = in.get<std::string>(); }
+
+template <typename Tag>
+void to_json(json& out, const quantity<Tag>& amount) { out = amount.value; }
+
+template <typename Tag>
+void from_json(const json& in, quantity<Tag>& amount) { amount.value = in.get<std::int64_t>(); }
+
+/// Reads an enumeration written as a number. Throws a JSON exception above `last`.
+template <typename Enum>
+Enum enumFromJson(const json& in, Enum last)
+{
+    const auto number = in.get<std::uint64_t>();
+    if (number > static_cast<std::uint64_t>(last))
+        throw json::other_error::create(jsonOtherError, "enumeration out of range", nullptr);
+    return static_cast<Enum>(number);
+}
+
+/// Deepest nesting that is taken from outside.
+constexpr int maxJsonDepth = 16;
+
+/// Parses text from outside. Empty when it isn't JSON or nests deeper than `maxJsonDepth`.
+std::optional<json> parseJson(std::string_view text);
+
+/// Reads a value of the given shape. Empty when a field is missing or has another type.
+template <typename Value>
+std::optional<Value> readJson(std::string_view text)
+{
+    const auto parsed = parseJson(text);
+    if (!parsed)
+        return std::nullopt;
+    try {
+        return parsed->get<Value>();
+    } catch (const json::exception&) {
+        return std::nullopt;
+    }
+}
+
+/// Writes JSON text; bytes that aren't UTF-8 are replaced.
+std::string writeJson(const json&);
+
+}
+
+namespace nlohmann {
+
+/// An absent value is written as null.
+template <typename Value>
+struct adl_serializer<std::optional<Value>> {
+    static void to_json(json& out, const std::optional<Value>& value)
+    {
+        if (value)
+            out = *value;
+        else
+            out = nullptr;
+    }
+    static void from_json(const json& in, std::optional<Value>& value)
+    {
+        if (in.is_null())
+            value.reset();
+        else
+            value = in.get<Value>();
+    }
+};
+
+}
--- /dev/null
+++ b/Source/Core/Common/Logging.cpp
@@ -0,0 +1,74 @@
+#include "Common/Logging.h"
+
+#include <log4cxx/basicconfigurator.h>
+#include <log4cxx/consoleappender.h>
+#include <log4cxx/jsonlayout.h>
+#include <log4cxx/logger.h>
+#include <log4cxx/mdc.h>
+#include <string>
+
+namespace Common {
+
+namespace {
+
+    std::string& instanceName()
+    {
+        static std::string name;
+        return name;
+    }
+
+    log4cxx::LevelPtr toLevel(log_level level)
+    {
+        switch (level) {
+        case log_level::Debug:
+            return log4cxx::Level::getDebug();
+        case log_level::Info:
+            return log4cxx::Level::getInfo();
+        case log_level::Warning:
+            return log4cxx::Level::getWarn();
+        case log_level::Error:
+            break;
+        }
+        return log4cxx::Level::getError();
+    }
+
+    const char* toName(log_category category)
+    {
+        switch (category) {
+        case log_category::Daemon:
+            return "daemon";
+        case log_category::PlatformLog:
+            return "platform_log";
+        case log_category::Roster:
+            return "roster";
+        case log_category::Limits:
+            return "limits";
+        case log_category::Pool:
+            return "pool";
+        case log_category::Targets:
+            return "targets";
+        case log_category::Requests:
+            break;
+        }
+        return "requests";
+    }
+
+}
+
+void startLogging(log_level lowest, std::string_view instance)
+{
+    instanceName() = instance;
+    const auto layout = std::make_shared<log4cxx::JSONLayout>();
+    const auto appender = std::make_shared<log4cxx::ConsoleAppender>(layout, LOG4CXX_STR("System.err"));
+    log4cxx::BasicConfigurator::configure(appender);
+    log4cxx::Logger::getRootLogger()->setLevel(toLevel(lowest));
+}
+
+void writeLog(log_level level, log_category category, std::string_view message)
+{
+    const log4cxx::MDC instance("instance", instanceName());
+    const auto logger = log4cxx::Logger::getLogger(std::string(toName(category)));
+    logger->log(toLevel(level), std::string(message));
+}
+
+}
--- /dev/null
+++ b/Source/Core/Fleet/FleetCodec.h
@@ -0,0 +1,53 @@
+#pragma once
+
+#include "Fleet/FleetState.h"
+
+#include <optional>
+#include <string>
+#include <string_view>
+#include <variant>
+#include <vector>
+
+/// Text forms of log records and snapshots.
+namespace Fleet {
+
+/// Schema version that this build writes, and the newest that it reads.
+constexpr int schemaVersion = 1;
+
+/// Part of a snapshot. All parts of one snapshot share `snapshot`.
+struct snapshot_chunk {
+    std::string snapshot;
+    /// The state in the snapshot includes this offset.
+    Common::log_offset through;
+    int index { 0 };
+    int count { 0 };
+    /// Content digest of the whole snapshot.
+    std::string digest;
+    std::string data;
+};
+
+using log_record = std::variant<envelope, snapshot_chunk>;
+
+enum class decode_failure {
+    None,
+    /// Not a record of this system; everyone skips it.
+    Malformed,
+    /// Written by a newer version; not to be skipped.
+    SchemaTooNew
+};
+
+std::string encodeRecord(const envelope&);
+std::string encodeRecord(const snapshot_chunk&);
+std::optional<log_record> decodeRecord(std::string_view text, decode_failure& lastReason);
+
+std::string encodeState(const fleet_state&);
+std::optional<fleet_state> decodeState(std::string_view text);
+
+/// Cuts a snapshot of the state into records of at most `chunkBytes` of data.
+std::vector<snapshot_chunk> cutSnapshot(const fleet_state&, std::string snapshotId, std::size_t chunkBytes);
+
+/// Reads and writes the fields of one role, as the operators' interface carries them.
+std::string encodeFields(const template_fields&);
+std::optional<template_fields> decodeFields(std::string_view text);
+
+}
--- /dev/null
+++ b/Source/Core/Fleet/Replica.h
@@ -0,0 +1,70 @@
+#pragma once
+
+#include "Fleet/FleetCodec.h"
+#include "Fleet/FleetState.h"
+
+#include <optional>
+#include <string>
+#include <utility>
+#include <vector>
+
+namespace Fleet {
+
+/// Record as the platform's log returns it.
+struct stored_record {
+    Common::log_offset offset;
+    std::string text;
+};
+
+enum class replica_failure {
+    None,
+    /// Records between the applied offset and the first kept one are gone.
+    Gap,
+    /// A newer version wrote a record that this build can't read.
+    SchemaTooNew
+};
+
+/// One daemon's copy of the fleet state, fed from the log. The applied offset only grows.
+class replica {
+public:
+    const fleet_state& state() const { return m_state; }
+    replica_failure lastReason() const { return m_lastReason; }
+    /// Offset to read from next.
+    Common::log_offset next() const { return m_next; }
+    /// Whether the state reflects the log, as opposed to waiting for a snapshot.
+    bool hasState() const { return m_hasState; }
+    /// Requests that commands named since the last call.
+    std::vector<Requests::work_identity> takeTouchedWorks() { return std::exchange(m_touchedWorks, {}); }
+    /// Members that left with nothing running since the last call.
+    std::vector<Common::process_id> takeLeftMembers() { return std::exchange(m_leftMembers, {}); }
+    /// Records that weren't this system's and were skipped.
+    std::int64_t skipped() const { return m_skipped; }
+    /// Offset up to which the newest complete snapshot that was seen reaches.
+    Common::log_offset snapshotThrough() const { return m_snapshotThrough; }
+
+    /// Takes the records that a read returned. `firstKept` is the oldest offset that the log still has.
+    /// False on a failure; the replica then takes no more.
+    bool feed(Common::log_offset firstKept, const std::vector<stored_record>&);
+
+private:
+    bool take(const stored_record&);
+    void apply(const envelope&, Common::log_offset);
+    void takeChunk(const snapshot_chunk&);
+    void restoreFrom(const std::string& snapshotText);
+    void fail(replica_failure);
+
+    fleet_state m_state;
+    bool m_hasState { false };
+    bool m_started { false };
+    Common::log_offset m_next;
+    std::vector<stored_record> m_beforeSnapshot;
+    std::string m_snapshotId;
+    std::vector<std::string> m_snapshotParts;
+    Common::log_offset m_snapshotThrough { -1 };
+    std::vector<Requests::work_identity> m_touchedWorks;
+    std::vector<Common::process_id> m_leftMembers;
+    std::int64_t m_skipped { 0 };
+    replica_failure m_lastReason { replica_failure::None };
+};
+
+}
--- /dev/null
+++ b/Source/Core/Fleet/TemplateRules.h
@@ -0,0 +1,19 @@
+#pragma once
+
+#include "Fleet/FleetState.h"
+
+/// Rules for account templates, queues and keys.
+namespace Fleet {
+
+/// Shares of all teams together, in hundredths of a per cent.
+constexpr Common::share_weight wholeShare { 10'000 };
+constexpr Common::slot_count highestUpperLimit { 1'000'000 };
+
+/// `standing` gets the revision that stands when the expected one doesn't.
+rejection applyCommand(
+    fleet_state&, const publish_template&, operator_role, Common::revision_number& standing);
+rejection applyCommand(fleet_state&, const define_queue&);
+rejection applyCommand(fleet_state&, const grant_key&);
+rejection applyCommand(fleet_state&, const withdraw_key&);
+
+}
--- /dev/null
+++ b/Source/Core/Node/HttpServer.h
@@ -0,0 +1,60 @@
+#pragma once
+
+#include "Common/Endpoint.h"
+
+#include <functional>
+#include <memory>
+#include <string>
+#include <thread>
+
+namespace httplib {
+class Server;
+}
+
+namespace Node {
+
+/// Answer to an HTTP call: a status and a JSON body.
+struct http_answer {
+    int status { 200 };
+    std::string body;
+};
+
+/// Call as a handler sees it.
+struct http_call {
+    std::string body;
+    /// Value of the header `X-Loft-Key`; empty for none.
+    std::string key;
+    /// Part of the path behind the route's prefix.
+    std::string rest;
+};
+
+/// One listener with its own threads.
+class http_server {
+public:
+    struct options {
+        Common::endpoint address;
+        std::size_t threads { 8 };
+        std::size_t maxBodyBytes { 1024 * 1024 };
+    };
+    using handler = std::function<http_answer(const http_call&)>;
+
+    explicit http_server(const options&);
+    ~http_server();
+    http_server(const http_server&) = delete;
+    http_server& operator=(const http_server&) = delete;
+
+    void onPost(const std::string& path, handler);
+    void onGet(const std::string& pathPrefix, handler);
+
+    /// Binds and serves in a thread of its own. False when the address can't be bound.
+    bool start();
+    /// Ends serving; calls that are being answered are finished.
+    void stop();
+
+private:
+    options m_options;
+    std::unique_ptr<httplib::Server> m_server;
+    std::thread m_thread;
+};
+
+}
--- /dev/null
+++ b/Source/Core/Node/PeerApi.h
@@ -0,0 +1,38 @@
+#pragma once
+
+#include "Node/HttpServer.h"
+#include "Node/PermitOffice.h"
+#include "Node/RequestService.h"
+
+namespace Node {
+
+/// Routes for calls of other daemons.
+class peer_api {
+public:
+    struct parts {
+        fleet_hub& hub;
+        permit_office& permits;
+        pool_office& pools;
+        request_service& requests;
+    };
+
+    explicit peer_api(parts chosen)
+        : m_parts(chosen)
+    {
+    }
+
+    void addRoutes(http_server&);
+
+private:
+    http_answer onPromise(const http_call&);
+    http_answer onBacking(const http_call&);
+    http_answer onPermits(const http_call&);
+    http_answer onForward(const http_call&);
+    http_answer onSettle(const http_call&);
+    http_answer onCancel(const http_call&);
+    http_answer onView();
+
+    parts m_parts;
+};
+
+}
--- /dev/null
+++ b/Source/Core/Node/PeerCodec.h
@@ -0,0 +1,51 @@
+#pragma once
+
+#include "Node/PeerMessages.h"
+
+#include <optional>
+#include <string>
+#include <string_view>
+
+/// JSON forms of the messages between daemons.
+namespace Node {
+
+std::string encode(const Roster::promise_request&);
+std::string encode(const Roster::backing_request&);
+std::string encode(const vote_reply&);
+std::string encode(const permit_exchange&);
+std::string encode(const permit_exchange_reply&);
+std::string encode(const forwarded_request&);
+std::string encode(const settle_query&);
+std::string encode(const Requests::work_identity&);
+std::string encode(const Requests::outcome&);
+std::string encode(const cancel_reply&);
+std::string encode(const view_reply&);
+
+/// Reads a message. Empty when the text isn't one.
+template <typename Message>
+std::optional<Message> decode(std::string_view text);
+
+template <>
+std::optional<Roster::promise_request> decode(std::string_view);
+template <>
+std::optional<Roster::backing_request> decode(std::string_view);
+template <>
+std::optional<vote_reply> decode(std::string_view);
+template <>
+std::optional<permit_exchange> decode(std::string_view);
+template <>
+std::optional<permit_exchange_reply> decode(std::string_view);
+template <>
+std::optional<forwarded_request> decode(std::string_view);
+template <>
+std::optional<settle_query> decode(std::string_view);
+template <>
+std::optional<Requests::work_identity> decode(std::string_view);
+template <>
+std::optional<Requests::outcome> decode(std::string_view);
+template <>
+std::optional<cancel_reply> decode(std::string_view);
+template <>
+std::optional<view_reply> decode(std::string_view);
+
+}
--- /dev/null
+++ b/Source/Core/Node/TaskRunner.h
@@ -0,0 +1,31 @@
+#pragma once
+
+#include <functional>
+#include <tbb/global_control.h>
+#include <tbb/task_arena.h>
+#include <tbb/task_group.h>
+
+namespace Node {
+
+/// Runs short calls to peers and workers on a shared set of threads.
+class task_runner {
+public:
+    explicit task_runner(int threads);
+    ~task_runner();
+    task_runner(const task_runner&) = delete;
+    task_runner& operator=(const task_runner&) = delete;
+
+    /// Runs the call soon, on another thread.
+    void run(std::function<void()>);
+
+    /// Runs the call once for each index below `count`, at the same time, and waits for all.
+    void runAll(std::size_t count, const std::function<void(std::size_t)>&);
+
+private:
+    // Calls wait for answers, so there are more threads than cores.
+    tbb::global_control m_control;
+    tbb::task_arena m_arena;
+    tbb::task_group m_group;
+};
+
+}
--- /dev/null
+++ b/Source/Core/Pool/PoolDesk.cpp
@@ -0,0 +1,357 @@
+#include "Pool/PoolDesk.h"
+
+#include "Common/Hashing.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace Pool {
+
+namespace {
+
+    /// Times an idempotent request is run before its failure is the answer.
+    constexpr int maxAttempts = 3;
+    /// Times in a row that workers may refuse a request before it waits without trying others first.
+    constexpr int maxRefusals = 5;
+    /// Assumed run time of a team's tasks before any has ended, in milliseconds.
+    constexpr double firstEstimateMillis = 100;
+    /// Weight of the newest run time in a team's estimate.
+    constexpr double newestWeight = 0.2;
+    /// A request is refused at once only if its wait is expected to be this many times what it can wait.
+    constexpr double hopelessFactor = 2;
+
+    using Requests::outcome;
+    using Requests::refusal_reason;
+
+}
+
+pool_desk::pool_desk(options chosen, permit_source& permits)
+    : m_options(std::move(chosen))
+    , m_permits(permits)
+{
+}
+
+std::optional<outcome> pool_desk::offer(offered_work work, Common::instant now)
+{
+    const auto& identity = work.request.identity;
+    if (m_closed)
+        return Requests::notRun(refusal_reason::HolderMoved);
+    const std::string digest = Common::contentDigest(work.request.payload);
+    const auto known = m_tasks.find(identity);
+    if (known != m_tasks.end()) {
+        if (known->second.payloadDigest != digest)
+            return Requests::notRun(refusal_reason::IdReused);
+        if (work.ticket)
+            known->second.tickets.push_back(*work.ticket);
+        return std::nullopt;
+    }
+    if (m_board.usableWorkers() > 0 && !m_board.everFits(work.request.needs))
+        return Requests::notRun(refusal_reason::NeverFits);
+    if (!work.fromLog && m_queue.waiting(identity.team) >= m_options.maxWaitingPerTeam)
+        return Requests::notRun(refusal_reason::QueueFull);
+    if (!work.fromLog && isLateBeyondHope(work))
+        return Requests::notRun(refusal_reason::DeadlineUnreachable);
+    task added { .work = std::move(work), .payloadDigest = digest };
+    added.deadline = now + added.work.request.remaining;
+    if (added.work.ticket)
+        added.tickets.push_back(*added.work.ticket);
+    const auto key = added.work.request.identity;
+    m_queue.add(key, added.deadline);
+    m_tasks.emplace(key, std::move(added));
+    return std::nullopt;
+}
+
+bool pool_desk::isLateBeyondHope(const offered_work& work) const
+{
+    const auto& team = work.request.identity.team;
+    const auto running = m_running.find(team);
+    if (running == m_running.end() || running->second == 0)
+        return false;
+    const double ahead = static_cast<double>(m_queue.waiting(team)) * estimateFor(team);
+    const double expected = ahead / running->second;
+    return expected > hopelessFactor * static_cast<double>(work.request.remaining.count());
+}
+
+double pool_desk::estimateFor(const Common::team_id& team) const
+{
+    const auto found = m_runMillis.find(team);
+    return found == m_runMillis.end() ? firstEstimateMillis : found->second;
+}
+
+void pool_desk::pump(bool mayStart, Common::instant now)
+{
+    for (const auto& identity : m_queue.overdue(now))
+        settle(identity, Requests::notRun(refusal_reason::DeadlinePassed));
+    endOverdueIntents(now);
+    if (mayStart && !m_closed)
+        m_queue.startAll([this, now](const Requests::work_identity& identity) { return tryStart(identity, now); });
+    publishWaiting();
+}
+
+void pool_desk::endOverdueIntents(Common::instant now)
+{
+    std::vector<Requests::work_identity> overdue;
+    for (const auto& [identity, entry] : m_tasks) {
+        if (entry.phase == task_phase::Intending && entry.deadline <= now)
+            overdue.push_back(identity);
+    }
+    // Forgetting the task is what makes "not run" certain: only this desk could have started it.
+    for (const auto& identity : overdue)
+        onIntentRefused(identity, Requests::notRun(refusal_reason::LogUnavailable), now);
+}
+
+void pool_desk::publishWaiting()
+{
+    for (const auto& team : m_queue.teams())
+        m_permits.setWaiting(team, { static_cast<std::int64_t>(m_queue.waiting(team)) });
+}
+
+start_attempt pool_desk::tryStart(const Requests::work_identity& identity, Common::instant now)
+{
+    task& entry = m_tasks.at(identity);
+    const auto& request = entry.work.request;
+    auto worker = m_board.choose(request.needs, request.idempotent, entry.tried, now);
+    if (!worker && !entry.tried.empty())
+        worker = m_board.choose(request.needs, request.idempotent, {}, now);
+    if (!worker)
+        return start_attempt::NoRoom;
+    if (!m_permits.tryTake(identity.team))
+        return start_attempt::NoPermit;
+    assign(entry, *worker, now);
+    if (request.idempotent || entry.intended) {
+        orderStart(entry);
+        return start_attempt::Started;
+    }
+    entry.phase = task_phase::Intending;
+    m_orders.intents.push_back({ .identity = identity,
+        .task = entry.id,
+        .worker = entry.worker,
+        .payloadDigest = entry.payloadDigest });
+    return start_attempt::Started;
+}
+
+void pool_desk::assign(task& entry, const Common::instance_id& worker, Common::instant now)
+{
+    const auto& request = entry.work.request;
+    if (entry.attempts == 0)
+        m_retries.onFirstAttempt();
+    ++entry.attempts;
+    entry.worker = worker;
+    entry.startedAt = now;
+    entry.id = { m_options.taskPrefix + "." + std::to_string(m_nextTask++) };
+    m_byTask[entry.id] = request.identity;
+    m_board.occupy(worker, request.needs);
+    ++m_running[request.identity.team];
+    entry.charged = m_board.slotsTaken(worker, request.needs) * estimateFor(request.identity.team);
+    m_queue.charge(request.identity.team, entry.charged);
+}
+
+void pool_desk::orderStart(task& entry)
+{
+    entry.phase = task_phase::Starting;
+    m_orders.starts.push_back({ .identity = entry.work.request.identity,
+        .task = entry.id,
+        .worker = entry.worker,
+        .needs = entry.work.request.needs,
+        .payload = entry.work.request.payload });
+}
+
+void pool_desk::release(task& entry, Common::instant now)
+{
+    const auto& request = entry.work.request;
+    const auto actualMillis = static_cast<double>(Common::elapsed(entry.startedAt, now).count());
+    const double actual = m_board.slotsTaken(entry.worker, request.needs) * actualMillis;
+    m_queue.charge(request.identity.team, actual - entry.charged);
+    m_board.vacate(entry.worker, request.needs);
+    m_permits.giveBack(request.identity.team);
+    --m_running[request.identity.team];
+    m_byTask.erase(entry.id);
+}
+
+void pool_desk::requeue(task& entry)
+{
+    if (m_closed && !entry.work.fromLog) {
+        settle(entry.work.request.identity, Requests::notRun(refusal_reason::HolderMoved));
+        return;
+    }
+    entry.phase = task_phase::Waiting;
+    m_queue.add(entry.work.request.identity, entry.deadline);
+}
+
+void pool_desk::settle(const Requests::work_identity& identity, outcome result)
+{
+    const auto found = m_tasks.find(identity);
+    if (found == m_tasks.end())
+        return;
+    m_queue.remove(identity);
+    const bool record = found->second.work.fromLog || found->second.intended;
+    m_orders.settlements.push_back({ .identity = identity,
+        .tickets = std::move(found->second.tickets),
+        .result = std::move(result),
+        .record = record });
+    m_tasks.erase(found);
+}
+
+void pool_desk::onIntentApplied(const Requests::work_identity& identity, Common::instant now)
+{
+    const auto found = m_tasks.find(identity);
+    if (found == m_tasks.end() || found->second.phase != task_phase::Intending)
+        return;
+    task& entry = found->second;
+    entry.intended = true;
+    if (now < entry.deadline) {
+        orderStart(entry);
+        return;
+    }
+    release(entry, now);
+    settle(identity, Requests::notRun(refusal_reason::DeadlinePassed));
+}
+
+void pool_desk::onIntentRefused(const Requests::work_identity& identity, outcome result, Common::instant now)
+{
+    const auto found = m_tasks.find(identity);
+    if (found == m_tasks.end() || found->second.phase != task_phase::Intending)
+        return;
+    release(found->second, now);
+    settle(identity, std::move(result));
+}
+
+void pool_desk::onStart(const Common::task_id& id, start_result result, Common::instant now)
+{
+    task* const entry = byTask(id);
+    if (!entry || entry->phase != task_phase::Starting)
+        return;
+    if (result == start_result::Accepted)
+        entry->phase = task_phase::Running;
+    // An unclear start stays on its way until the worker tells, or is surely gone.
+    if (result != start_result::Refused)
+        return;
+    release(*entry, now);
+    --entry->attempts;
+    ++entry->refusals;
+    if (entry->refusals <= maxRefusals)
+        entry->tried.insert(entry->worker);
+    else
+        entry->tried.clear();
+    requeue(*entry);
+}
+
+void pool_desk::onFinished(const Common::task_id& id, outcome result, Common::instant now)
+{
+    task* const entry = byTask(id);
+    if (!entry)
+        return;
+    const bool failed = result.kind != Requests::outcome_kind::Done;
+    const auto& team = entry->work.request.identity.team;
+    m_board.onResult(entry->worker, entry->work.request.identity.request.value, failed, now);
+    if (!failed) {
+        const auto ran = static_cast<double>(Common::elapsed(entry->startedAt, now).count());
+        m_runMillis[team] = estimateFor(team) * (1 - newestWeight) + ran * newestWeight;
+    }
+    release(*entry, now);
+    const bool retry = failed && entry->work.request.idempotent && entry->attempts < maxAttempts
+        && now < entry->deadline && m_retries.tryRetry();
+    if (retry) {
+        entry->tried.insert(entry->worker);
+        requeue(*entry);
+        return;
+    }
+    settle(entry->work.request.identity, std::move(result));
+}
+
+void pool_desk::onLost(const Common::task_id& id, Common::instant now)
+{
+    onFinished(id, Requests::unknownOutcome(refusal_reason::WorkerLost), now);
+}
+
+bool pool_desk::cancel(const Requests::work_identity& identity, Common::instant)
+{
+    const auto found = m_tasks.find(identity);
+    if (found == m_tasks.end())
+        return false;
+    if (found->second.phase == task_phase::Waiting) {
+        settle(identity, Requests::notRun(refusal_reason::Cancelled));
+        return true;
+    }
+    if (found->second.phase == task_phase::Running)
+        m_orders.stops.push_back({ .task = found->second.id, .worker = found->second.worker });
+    return false;
+}
+
+void pool_desk::close(Common::instant)
+{
+    m_closed = true;
+    std::vector<Requests::work_identity> waiting;
+    for (const auto& [identity, entry] : m_tasks) {
+        if (entry.phase == task_phase::Waiting)
+            waiting.push_back(identity);
+    }
+    for (const auto& identity : waiting) {
+        if (m_tasks.at(identity).work.fromLog) {
+            m_queue.remove(identity);
+            m_tasks.erase(identity);
+        } else {
+            settle(identity, Requests::notRun(refusal_reason::HolderMoved));
+        }
+    }
+    publishWaiting();
+}
+
+std::vector<settlement> pool_desk::abandon()
+{
+    std::vector<settlement> settled;
+    for (auto& [identity, entry] : m_tasks) {
+        const bool unsent = entry.phase == task_phase::Waiting || entry.phase == task_phase::Intending;
+        settled.push_back({ .identity = identity,
+            .tickets = std::move(entry.tickets),
+            .result = unsent ? Requests::notRun(refusal_reason::HolderMoved)
+                             : Requests::unknownOutcome(refusal_reason::HolderLost),
+            .record = false });
+    }
+    m_tasks.clear();
+    m_byTask.clear();
+    return settled;
+}
+
+bool pool_desk::hasSettledStarts() const
+{
+    return std::ranges::none_of(m_tasks, [](const auto& entry) {
+        return entry.second.phase == task_phase::Intending || entry.second.phase == task_phase::Starting;
+    });
+}
+
+pool_desk::task* pool_desk::byTask(const Common::task_id& id)
+{
+    const auto found = m_byTask.find(id);
+    return found == m_byTask.end() ? nullptr : &m_tasks.at(found->second);
+}
+
+std::optional<pool_desk::task_view> pool_desk::find(const Requests::work_identity& identity) const
+{
+    const auto found = m_tasks.find(identity);
+    if (found == m_tasks.end())
+        return std::nullopt;
+    const task& entry = found->second;
+    return task_view { .identity = identity, .task = entry.id, .worker = entry.worker, .phase = entry.phase };
+}
+
+std::optional<pool_desk::task_view> pool_desk::findTask(const Common::task_id& id) const
+{
+    const auto found = m_byTask.find(id);
+    return found == m_byTask.end() ? std::nullopt : find(found->second);
+}
+
+std::vector<pool_desk::task_view> pool_desk::tasks() const
+{
+    std::vector<task_view> views;
+    for (const auto& [identity, entry] : m_tasks)
+        views.push_back({ .identity = identity, .task = entry.id, .worker = entry.worker, .phase = entry.phase });
+    return views;
+}
+
+desk_orders pool_desk::takeOrders()
+{
+    return std::exchange(m_orders, {});
+}
+
+}
--- /dev/null
+++ b/Source/Core/Pool/ShareQueue.cpp
@@ -0,0 +1,121 @@
+#include "Pool/ShareQueue.h"
+
+#include <algorithm>
+#include <limits>
+
+namespace Pool {
+
+namespace {
+
+    /// Weight of a team without a share: the smallest there is.
+    constexpr double leastWeight = 1;
+
+}
+
+void share_queue::setShare(const Common::team_id& team, Common::share_weight share)
+{
+    m_teams[team].weight = std::max(leastWeight, static_cast<double>(share.value));
+}
+
+void share_queue::add(const Requests::work_identity& identity, Common::instant deadline)
+{
+    team_line& team = m_teams[identity.team];
+    // A team that was idle gets no credit for the time in which it asked for nothing.
+    if (team.waiting.empty())
+        team.service = std::max(team.service, leastActiveService());
+    team.waiting.insert({ .deadline = deadline, .identity = identity });
+    m_deadlines[identity] = deadline;
+}
+
+void share_queue::remove(const Requests::work_identity& identity)
+{
+    const auto found = m_deadlines.find(identity);
+    if (found == m_deadlines.end())
+        return;
+    m_teams[identity.team].waiting.erase({ .deadline = found->second, .identity = identity });
+    m_deadlines.erase(found);
+}
+
+double share_queue::leastActiveService() const
+{
+    double least = std::numeric_limits<double>::infinity();
+    for (const auto& [name, team] : m_teams) {
+        if (!team.waiting.empty())
+            least = std::min(least, team.service);
+    }
+    return least == std::numeric_limits<double>::infinity() ? 0 : least;
+}
+
+void share_queue::startAll(const std::function<start_attempt(const Requests::work_identity&)>& start)
+{
+    std::set<Common::team_id> blocked;
+    while (true) {
+        team_line* next = nullptr;
+        const Common::team_id* nextName = nullptr;
+        for (auto& [name, team] : m_teams) {
+            const bool eligible = !team.waiting.empty() && !blocked.contains(name);
+            if (!eligible || (next && team.service >= next->service))
+                continue;
+            next = &team;
+            nextName = &name;
+        }
+        if (!next)
+            return;
+        if (tryTeam(*next, start) != start_attempt::Started)
+            blocked.insert(*nextName);
+    }
+}
+
+start_attempt share_queue::tryTeam(
+    team_line& team, const std::function<start_attempt(const Requests::work_identity&)>& start)
+{
+    std::vector<Requests::work_identity> candidates;
+    for (const entry& waiting : team.waiting) {
+        if (static_cast<int>(candidates.size()) == triedPerTeam)
+            break;
+        candidates.push_back(waiting.identity);
+    }
+    for (const auto& identity : candidates) {
+        const start_attempt result = start(identity);
+        if (result == start_attempt::Started)
+            remove(identity);
+        if (result != start_attempt::NoRoom)
+            return result;
+    }
+    return start_attempt::NoRoom;
+}
+
+void share_queue::charge(const Common::team_id& name, double slotMillis)
+{
+    team_line& team = m_teams[name];
+    team.service += slotMillis / team.weight;
+}
+
+std::vector<Requests::work_identity> share_queue::overdue(Common::instant now) const
+{
+    std::vector<Requests::work_identity> result;
+    for (const auto& [name, team] : m_teams) {
+        for (const entry& waiting : team.waiting) {
+            if (waiting.deadline > now)
+                break;
+            result.push_back(waiting.identity);
+        }
+    }
+    return result;
+}
+
+std::size_t share_queue::waiting(const Common::team_id& name) const
+{
+    const auto found = m_teams.find(name);
+    return found == m_teams.end() ? 0 : found->second.waiting.size();
+}
+
+std::vector<Common::team_id> share_queue::teams() const
+{
+    std::vector<Common::team_id> names;
+    for (const auto& [name, team] : m_teams)
+        names.push_back(name);
+    return names;
+}
+
+}
--- /dev/null
+++ b/Source/Core/Pool/WorkerBoard.cpp
@@ -0,0 +1,210 @@
+#include "Pool/WorkerBoard.h"
+
+#include <algorithm>
+
+namespace Pool {
+
+namespace {
+
+    /// Results of a worker that are looked at.
+    constexpr std::size_t keptResults = 8;
+    /// Failures among them that eject a worker.
+    constexpr std::ptrdiff_t ejectingFailures = 4;
+    /// Different jobs that must have failed: one bad job ejects nobody.
+    constexpr std::size_t ejectingJobs = 3;
+    constexpr Common::millis ejectionPause { 5000 };
+    /// Largest part of a pool that may be ejected: one worker in this many.
+    constexpr std::size_t ejectableOneIn = 3;
+
+    void add(Requests::resources& sum, const Requests::resources& part)
+    {
+        sum.cores += part.cores;
+        sum.memory += part.memory;
+        sum.accelerators += part.accelerators;
+    }
+
+    void subtract(Requests::resources& sum, const Requests::resources& part)
+    {
+        sum.cores -= part.cores;
+        sum.memory -= part.memory;
+        sum.accelerators -= part.accelerators;
+    }
+
+    double partOf(std::int64_t amount, std::int64_t whole)
+    {
+        return whole > 0 ? static_cast<double>(amount) / static_cast<double>(whole) : 0;
+    }
+
+}
+
+void worker_board::setWorkers(const std::vector<worker_facts>& list)
+{
+    std::set<Common::instance_id> named;
+    for (const worker_facts& facts : list) {
+        named.insert(facts.instance);
+        m_workers[facts.instance].facts = facts;
+    }
+    for (auto& [instance, entry] : m_workers) {
+        if (!named.contains(instance))
+            entry.facts.open = false;
+    }
+    std::erase_if(m_workers, [&named](const auto& entry) {
+        return !named.contains(entry.first) && entry.second.usedSlots.value == 0;
+    });
+}
+
+void worker_board::onReport(const Common::instance_id& instance, Requests::resources foreign,
+    Common::slot_count foreignSlots, bool leaving)
+{
+    const auto found = m_workers.find(instance);
+    if (found == m_workers.end())
+        return;
+    found->second.reported = true;
+    found->second.foreign = foreign;
+    found->second.foreignSlots = foreignSlots;
+    found->second.leaving = leaving;
+}
+
+void worker_board::onSilent(const Common::instance_id& instance)
+{
+    const auto found = m_workers.find(instance);
+    if (found != m_workers.end())
+        found->second.reported = false;
+}
+
+bool worker_board::isUsable(const worker& entry)
+{
+    return entry.facts.open && entry.reported && !entry.leaving;
+}
+
+bool worker_board::hasRoom(const worker& entry, const Requests::resources& needs)
+{
+    if (entry.usedSlots + entry.foreignSlots >= entry.facts.slots)
+        return false;
+    Requests::resources total = needs;
+    add(total, entry.used);
+    add(total, entry.foreign);
+    return total.fitsIn(entry.facts.capacity);
+}
+
+std::optional<Common::instance_id> worker_board::choose(const Requests::resources& needs, bool idempotent,
+    const std::set<Common::instance_id>& avoid, Common::instant now) const
+{
+    std::optional<Common::instance_id> best;
+    double bestLoad = 0;
+    for (const auto& [instance, entry] : m_workers) {
+        if (!isUsable(entry) || !hasRoom(entry, needs) || avoid.contains(instance))
+            continue;
+        const bool isProbe = idempotent && entry.usedSlots.value == 0 && now >= entry.probeAt;
+        if (entry.ejected && !isProbe)
+            continue;
+        // Accelerators are kept for the tasks that need them.
+        const bool wastes = needs.accelerators.value == 0 && entry.facts.capacity.accelerators.value > 0;
+        const double load = partOf((entry.usedSlots + entry.foreignSlots).value, entry.facts.slots.value) + (wastes ? 1 : 0);
+        if (best && load >= bestLoad)
+            continue;
+        best = instance;
+        bestLoad = load;
+    }
+    return best;
+}
+
+bool worker_board::everFits(const Requests::resources& needs) const
+{
+    return std::ranges::any_of(
+        m_workers, [&needs](const auto& entry) { return needs.fitsIn(entry.second.facts.capacity); });
+}
+
+void worker_board::occupy(const Common::instance_id& instance, const Requests::resources& needs)
+{
+    worker& entry = m_workers[instance];
+    entry.usedSlots += { 1 };
+    add(entry.used, needs);
+}
+
+void worker_board::vacate(const Common::instance_id& instance, const Requests::resources& needs)
+{
+    const auto found = m_workers.find(instance);
+    if (found == m_workers.end())
+        return;
+    found->second.usedSlots -= { 1 };
+    subtract(found->second.used, needs);
+}
+
+bool worker_board::failsEverything(const worker& entry)
+{
+    std::set<std::string> failedJobs;
+    std::ptrdiff_t failures = 0;
+    for (const result_note& note : entry.results) {
+        if (!note.failed)
+            continue;
+        ++failures;
+        failedJobs.insert(note.job);
+    }
+    const bool mostFail = failures * 4 >= static_cast<std::ptrdiff_t>(entry.results.size()) * 3;
+    return failures >= ejectingFailures && failedJobs.size() >= ejectingJobs && mostFail;
+}
+
+bool worker_board::mayEject() const
+{
+    const auto ejected = static_cast<std::size_t>(
+        std::ranges::count_if(m_workers, [](const auto& entry) { return entry.second.ejected; }));
+    return (ejected + 1) * ejectableOneIn <= m_workers.size();
+}
+
+void worker_board::onResult(
+    const Common::instance_id& instance, const std::string& job, bool failed, Common::instant now)
+{
+    const auto found = m_workers.find(instance);
+    if (found == m_workers.end())
+        return;
+    worker& entry = found->second;
+    entry.results.push_back({ .job = job, .failed = failed });
+    if (entry.results.size() > keptResults)
+        entry.results.pop_front();
+    if (!failed) {
+        if (entry.ejected)
+            entry.results.clear();
+        entry.ejected = false;
+        return;
+    }
+    if (!entry.ejected && !(failsEverything(entry) && mayEject()))
+        return;
+    entry.ejected = true;
+    entry.probeAt = now + ejectionPause;
+}
+
+double worker_board::slotsTaken(const Common::instance_id& instance, const Requests::resources& needs) const
+{
+    const auto found = m_workers.find(instance);
+    if (found == m_workers.end())
+        return 1;
+    const worker_facts& facts = found->second.facts;
+    const double part = std::max({ partOf(needs.cores.value, facts.capacity.cores.value),
+        partOf(needs.memory.value, facts.capacity.memory.value),
+        partOf(needs.accelerators.value, facts.capacity.accelerators.value) });
+    return std::max(1.0, part * static_cast<double>(facts.slots.value));
+}
+
+bool worker_board::isEmpty(const Common::instance_id& instance) const
+{
+    const auto found = m_workers.find(instance);
+    if (found == m_workers.end())
+        return true;
+    const worker& entry = found->second;
+    return entry.reported && entry.usedSlots.value == 0 && entry.foreignSlots.value == 0;
+}
+
+bool worker_board::isEjected(const Common::instance_id& instance) const
+{
+    const auto found = m_workers.find(instance);
+    return found != m_workers.end() && found->second.ejected;
+}
+
+std::size_t worker_board::usableWorkers() const
+{
+    return static_cast<std::size_t>(
+        std::ranges::count_if(m_workers, [](const auto& entry) { return isUsable(entry.second); }));
+}
+
+}
--- /dev/null
+++ b/Source/Core/Roster/ShardPlan.h
@@ -0,0 +1,21 @@
+#pragma once
+
+#include "Fleet/FleetState.h"
+#include "Roster/LeaseKeeper.h"
+
+#include <vector>
+
+namespace Roster {
+
+/// Member that should hold the shard: the one with the highest rendezvous rank among those that
+/// aren't retiring. Empty when there is none.
+Common::process_id preferredHolder(const Fleet::fleet_state&, const Common::shard_id&);
+
+/// Shards without a holder that `self` should claim.
+std::vector<Common::shard_id> shardsToClaim(const Fleet::fleet_state&, const Common::process_id& self);
+
+/// Shards that `self` holds and should hand to another member.
+std::vector<Common::shard_id> shardsToRelease(const Fleet::fleet_state&, const Common::process_id& self,
+    const lease_keeper&, const timing&, Common::instant now);
+
+}
--- /dev/null
+++ b/Source/Daemon/Main.cpp
@@ -0,0 +1,102 @@
+#include "Common/Logging.h"
+#include "Node/Daemon.h"
+#include "Settings/Settings.h"
+
+#include <csignal>
+#include <fstream>
+#include <gflags/gflags.h>
+#include <iostream>
+#include <sodium.h>
+#include <sstream>
+
+// NOLINTBEGIN(readability-identifier-naming)
+DEFINE_string(settings, "", "settings file in TOML; docs/SETTINGS.md lists the keys");
+DEFINE_bool(check, false, "check the settings, report every fault, and exit");
+// NOLINTEND(readability-identifier-naming)
+
+namespace {
+
+enum class exit_code {
+    Clean = 0,
+    NotClean = 1,
+    BadSettings = 2,
+    AddressInUse = 3
+};
+
+int finish(exit_code code)
+{
+    return static_cast<int>(code);
+}
+
+std::optional<std::string> readFile(const std::string& path)
+{
+    std::ifstream file(path);
+    if (!file)
+        return std::nullopt;
+    std::ostringstream content;
+    content << file.rdbuf();
+    return content.str();
+}
+
+void printFaults(const std::string& path, const std::vector<Settings::settings_fault>& faults)
+{
+    for (const auto& fault : faults) {
+        std::cerr << path << ':' << fault.line << ": " << Settings::toText(fault.kind) << ' ' << fault.key
+                  << ": expected " << fault.expected << '\n';
+    }
+}
+
+/// Waits for the signal of a planned stop.
+void waitForStop(const sigset_t& signals)
+{
+    int received = 0;
+    sigwait(&signals, &received);
+}
+
+int serve(const Settings::daemon_settings& settings)
+{
+    sigset_t signals;
+    sigemptyset(&signals);
+    sigaddset(&signals, SIGTERM);
+    sigaddset(&signals, SIGINT);
+    // Blocked before any thread starts, so that all threads inherit it.
+    pthread_sigmask(SIG_BLOCK, &signals, nullptr);
+    std::signal(SIGPIPE, SIG_IGN);
+    Common::startLogging(settings.logLevel, settings.instance);
+    Node::entry_daemon daemon(settings);
+    if (!daemon.start()) {
+        Common::writeLog(Common::log_level::Error, Common::log_category::Daemon, "an address can't be bound");
+        return finish(exit_code::AddressInUse);
+    }
+    Common::writeLog(Common::log_level::Info, Common::log_category::Daemon, "started");
+    waitForStop(signals);
+    Common::writeLog(Common::log_level::Info, Common::log_category::Daemon, "stopping");
+    return finish(daemon.stop() ? exit_code::Clean : exit_code::NotClean);
+}
+
+}
+
+int main(int argc, char** argv)
+{
+    gflags::SetUsageMessage("loftd --settings=FILE [--check]\n"
+                            "Exit codes: 0 clean stop, 1 stopped with work running, 2 bad settings, 3 address in use.");
+    gflags::ParseCommandLineFlags(&argc, &argv, true);
+    const auto text = readFile(FLAGS_settings);
+    if (!text) {
+        std::cerr << "loftd: can't read the settings file '" << FLAGS_settings << "'\n";
+        return finish(exit_code::BadSettings);
+    }
+    std::vector<Settings::settings_fault> faults;
+    const auto settings = Settings::parseSettings(*text, faults);
+    if (!settings) {
+        printFaults(FLAGS_settings, faults);
+        return finish(exit_code::BadSettings);
+    }
+    if (FLAGS_check) {
+        std::cout << "settings are in order\n";
+        return finish(exit_code::Clean);
+    }
+    if (sodium_init() < 0)
+        return finish(exit_code::NotClean);
+    return serve(*settings);
+}
