--- /dev/null
+++ b/Source/UnitTests/Core/Fleet/ReplicaTest.cpp
@@ -0,0 +1,122 @@
+#include "Core/Fleet/FleetFixture.h"
+
+#include "Fleet/Replica.h"
+
+#include <catch2/catch.hpp>
+
+namespace {
+
+std::string recordOf(Fleet::command_body body, const std::string& id)
+{
+    const Fleet::command sent { .id = { id }, .author = "ann", .role = Fleet::operator_role::OperationsLead, .why = "w",
+        .body = std::move(body) };
+    return Fleet::encodeRecord(Fleet::envelope { .at = { 1 }, .by = { "p" }, .commands = { sent } });
+}
+
+std::vector<Fleet::stored_record> someRecords(int count)
+{
+    std::vector<Fleet::stored_record> records;
+    for (int index = 0; index < count; ++index) {
+        const std::string name = "w" + std::to_string(index);
+        records.push_back({ .offset = { index },
+            .text = recordOf(Fleet::place_instance { { name }, { "p" }, { "dc1" }, { "r1" } }, "c" + name) });
+    }
+    return records;
+}
+
+std::vector<Fleet::stored_record> snapshotRecords(const Fleet::fleet_state& state, std::int64_t from)
+{
+    std::vector<Fleet::stored_record> records;
+    for (const auto& chunk : Fleet::cutSnapshot(state, "s", 64))
+        records.push_back({ .offset = { from++ }, .text = Fleet::encodeRecord(chunk) });
+    return records;
+}
+
+}
+
+TEST_CASE("A daemon follows the log")
+{
+    Fleet::replica follower;
+    const auto records = someRecords(6);
+
+    SECTION("records are applied once, in order, however often they come")
+    {
+        REQUIRE(follower.feed({ 0 }, records));
+        REQUIRE(follower.feed({ 0 }, records));
+        CHECK(follower.state().applied.value == 5);
+        CHECK(follower.state().instances.size() == 6);
+    }
+    SECTION("a missing record stops it for good")
+    {
+        REQUIRE(follower.feed({ 0 }, { records[0] }));
+        CHECK_FALSE(follower.feed({ 0 }, { records[2] }));
+        CHECK(follower.lastReason() == Fleet::replica_failure::Gap);
+        CHECK_FALSE(follower.feed({ 0 }, records));
+    }
+    SECTION("records that expired before it read them are a gap")
+    {
+        REQUIRE(follower.feed({ 0 }, { records[0] }));
+        CHECK_FALSE(follower.feed({ 3 }, { records[3] }));
+        CHECK(follower.lastReason() == Fleet::replica_failure::Gap);
+    }
+    SECTION("garbage in the log is skipped by all alike")
+    {
+        REQUIRE(follower.feed({ 0 }, { { .offset = { 0 }, .text = "garbage" } }));
+        CHECK(follower.skipped() == 1);
+        CHECK(follower.state().applied.value == 0);
+    }
+    SECTION("a record of a newer version stops it, so that it can't diverge")
+    {
+        CHECK_FALSE(follower.feed({ 0 }, { { .offset = { 0 }, .text = R"({"v":2})" } }));
+        CHECK(follower.lastReason() == Fleet::replica_failure::SchemaTooNew);
+    }
+}
+
+TEST_CASE("A new daemon starts when the oldest records have expired")
+{
+    Fleet::replica writer;
+    const auto records = someRecords(6);
+    REQUIRE(writer.feed({ 0 }, { records[0], records[1], records[2] }));
+    auto kept = snapshotRecords(writer.state(), 3);
+    const auto chunks = static_cast<std::int64_t>(kept.size());
+    REQUIRE(chunks > 2);
+    auto late = records[3];
+    late.offset = { 3 + chunks };
+    kept.push_back(late);
+
+    SECTION("from a snapshot and what follows it, with the same state as one that read everything")
+    {
+        REQUIRE(writer.feed({ 0 }, kept));
+        Fleet::replica newcomer;
+        REQUIRE(newcomer.feed({ 3 }, kept));
+        REQUIRE(newcomer.hasState());
+        CHECK(Fleet::encodeState(newcomer.state()) == Fleet::encodeState(writer.state()));
+    }
+    SECTION("never from a snapshot with a damaged part")
+    {
+        auto damaged = snapshotRecords(writer.state(), 3);
+        const auto parts = Fleet::cutSnapshot(writer.state(), "s", 64);
+        auto part = parts[1];
+        part.data[0] ^= 1;
+        damaged[1].text = Fleet::encodeRecord(part);
+        Fleet::replica newcomer;
+        REQUIRE(newcomer.feed({ 3 }, damaged));
+        CHECK_FALSE(newcomer.hasState());
+    }
+    SECTION("never while records between the snapshot and the rest are gone")
+    {
+        auto shifted = kept;
+        shifted.insert(shifted.begin(), { .offset = { 5 }, .text = records[5].text });
+        for (std::size_t index = 1; index < shifted.size(); ++index)
+            shifted[index].offset = { 5 + static_cast<std::int64_t>(index) };
+        Fleet::replica newcomer;
+        REQUIRE(newcomer.feed({ 5 }, shifted));
+        CHECK_FALSE(newcomer.hasState());
+    }
+    SECTION("without any snapshot it waits and serves nothing")
+    {
+        Fleet::replica newcomer;
+        REQUIRE(newcomer.feed({ 3 }, { records[3], records[4] }));
+        CHECK_FALSE(newcomer.hasState());
+    }
+}
