--- a/Source/Core/Node/ControlLoop.cpp
+++ b/Source/Core/Node/ControlLoop.cpp
@@ -206,6 +206,8 @@
         const auto& state = m_parts.hub.state();
         m_parts.hub.keeper().beginPromiseRound(state, now);
         request = { .asker = m_parts.hub.self(), .version = state.membershipVersion, .applied = state.applied };
+        if (m_parts.hub.promises().givePromise(request, state, m_parts.hub.keeper().lacksLog(now), now))
+            m_parts.hub.keeper().onPromiseGiven(m_parts.hub.self(), state);
         for (const auto& [process, entry] : state.members) {
             if (process != m_parts.hub.self())
                 members.push_back(entry);
@@ -301,11 +303,14 @@
     constexpr std::string_view poolPrefix = "pool:";
     const auto& timing = m_parts.hub.settings().timing;
     for (const auto& shard : Roster::shardsToRelease(state, m_parts.hub.self(), m_parts.hub.keeper(), timing, now)) {
+        const auto epoch = state.shards.at(shard).epoch;
         const bool isPool = shard.value.starts_with(poolPrefix);
         if (isPool && !m_parts.pools.closeDesk({ shard.value.substr(poolPrefix.size()) }, now))
             continue;
-        m_parts.hub.submitOwn(Fleet::release_shard {
-            .shard = shard, .process = m_parts.hub.self(), .epoch = state.shards.at(shard).epoch });
+        if (!isPool)
+            m_parts.permits.closeLedger(shard, epoch);
+        m_parts.hub.submitOwn(
+            Fleet::release_shard { .shard = shard, .process = m_parts.hub.self(), .epoch = epoch });
     }
 }
 
--- a/Source/Core/Node/PermitOffice.cpp
+++ b/Source/Core/Node/PermitOffice.cpp
@@ -113,6 +113,9 @@
     for (const auto& [shard, holding] : m_hub.state().shards) {
         if (!isLedger(shard) || holding.holder != m_hub.self() || m_ledgers.contains(shard))
             continue;
+        const auto closed = m_closed.find(shard);
+        if (closed != m_closed.end() && closed->second == holding.epoch)
+            continue;
         const Limits::team_ledger::options options { .shard = shard,
             .epoch = holding.epoch,
             .taskHold = taskHold(),
@@ -121,6 +124,12 @@
     }
 }
 
+void permit_office::closeLedger(const Common::shard_id& shard, Common::shard_epoch epoch)
+{
+    m_closed[shard] = epoch;
+    m_ledgers.erase(shard);
+}
+
 void permit_office::exchange(Common::instant now)
 {
     if (!m_hub.mayAct(now))
--- a/Source/Core/Node/PermitOffice.h
+++ b/Source/Core/Node/PermitOffice.h
@@ -30,6 +30,8 @@
     void exchange(Common::instant now);
     /// Answers reports of another daemon.
     permit_exchange_reply onReports(const permit_exchange&, Common::instant now);
+    /// Ends a part of the ledgers before it is released; no report is answered under its epoch any more.
+    void closeLedger(const Common::shard_id&, Common::shard_epoch);
     /// Lets go of idle permits; call about twice a second.
     void cool() { m_wallet->cool(); }
 
@@ -54,6 +56,8 @@
     task_runner& m_runner;
     std::unique_ptr<Limits::permit_wallet> m_wallet;
     std::map<Common::shard_id, Limits::team_ledger> m_ledgers;
+    /// Parts that were ended before their release, with the epoch that is over.
+    std::map<Common::shard_id, Common::shard_epoch> m_closed;
     std::set<Common::process_id> m_members;
     std::set<Common::process_id> m_exchanging;
     std::vector<Common::revision_number> m_revisions;
--- a/Source/Core/Roster/LeaseKeeper.cpp
+++ b/Source/Core/Roster/LeaseKeeper.cpp
@@ -62,8 +62,6 @@
     m_roundBegan = now;
     m_roundVersion = state.membershipVersion;
     m_roundPromises.clear();
-    if (lacksLog(now))
-        onPromiseGiven(m_self, state);
 }
 
 void lease_keeper::onPromiseGiven(const Common::process_id& from, const Fleet::fleet_state& state)
--- a/Source/Core/Roster/LeaseKeeper.h
+++ b/Source/Core/Roster/LeaseKeeper.h
@@ -29,7 +29,8 @@
     /// The log gave some answer.
     void onLogAnswered(Common::instant now);
 
-    /// Begins a round of asking all members for promises.
+    /// Begins a round of asking all members for promises. This daemon's own promise counts as well, and
+    /// must come from its promise book like any other, or it could back a newcomer at the same time.
     void beginPromiseRound(const Fleet::fleet_state&, Common::instant now);
     void onPromiseGiven(const Common::process_id& from, const Fleet::fleet_state&);
 
--- a/Source/Core/Roster/PromiseBook.cpp
+++ b/Source/Core/Roster/PromiseBook.cpp
@@ -12,10 +12,7 @@
         return false;
     if (request.version != state.membershipVersion || request.applied < state.applied)
         return false;
-    if (m_backedJoin && *m_backedJoin >= state.membershipVersion)
-        return false;
-    const auto backed = m_backedRemoval.find(request.asker);
-    if (backed != m_backedRemoval.end() && backed->second >= asker->second.renewed)
+    if (mayChange(state))
         return false;
     m_promisedUntil[request.asker] = now + m_limits.promise;
     return true;
@@ -26,18 +23,18 @@
 {
     if (!state.members.contains(m_self) || request.version != state.membershipVersion)
         return false;
+    if (holdsPromises(now))
+        return false;
     if (request.target.empty()) {
-        if (holdsPromises(now))
-            return false;
         m_backedJoin = state.membershipVersion;
         return true;
     }
     const auto target = state.members.find(request.target);
     if (target == state.members.end() || target->second.renewed != request.renewed)
         return false;
-    if (!isLapsed || hasPromised(request.target, now))
+    if (!isLapsed)
         return false;
-    m_backedRemoval[request.target] = request.renewed;
+    m_backedRemovals[request.target] = { .renewed = request.renewed, .version = request.version };
     return true;
 }
 
@@ -46,10 +43,15 @@
     return std::ranges::any_of(m_promisedUntil, [now](const auto& entry) { return entry.second > now; });
 }
 
-bool promise_book::hasPromised(const Common::process_id& process, Common::instant now) const
+bool promise_book::mayChange(const Fleet::fleet_state& state) const
 {
-    const auto found = m_promisedUntil.find(process);
-    return found != m_promisedUntil.end() && found->second > now;
+    if (m_backedJoin && *m_backedJoin >= state.membershipVersion)
+        return true;
+    return std::ranges::any_of(m_backedRemovals, [&state](const auto& entry) {
+        const auto target = state.members.find(entry.first);
+        const bool isVoid = target == state.members.end() || target->second.renewed > entry.second.renewed;
+        return !isVoid && entry.second.version >= state.membershipVersion;
+    });
 }
 
 }
--- a/Source/Core/Roster/PromiseBook.h
+++ b/Source/Core/Roster/PromiseBook.h
@@ -27,10 +27,11 @@
 
 /// What one member has promised and backed. Kept in memory only.
 ///
-/// A member that lacks the log goes on while more than half of the members promise it. A removal
-/// needs the backing of more than half as well. Both sets share a member, and that member never
-/// does both: it backs no removal of a member it holds a live promise to, and it promises nothing
-/// to a member whose removal it backed, unless that member renewed after it, which voids the removal.
+/// Members that lack the log go on while more than half of the members, as of one membership version,
+/// promise it to each other. Each change of the membership needs the backing of more than half of the
+/// members of the version that it changes. Both sets share a member, and no member is in both: it backs
+/// nothing while a promise of it lives, its promises to itself included, and it promises nothing under
+/// a version at which it backed a change, unless that change has become void.
 class promise_book {
 public:
     promise_book(Common::process_id self, timing limits)
@@ -50,12 +51,18 @@
     bool holdsPromises(Common::instant now) const;
 
 private:
-    bool hasPromised(const Common::process_id&, Common::instant now) const;
+    struct backed_removal {
+        Common::log_offset renewed;
+        Common::membership_version version;
+    };
+
+    /// Whether a change of the standing membership that was backed here may still take effect.
+    bool mayChange(const Fleet::fleet_state&) const;
 
     Common::process_id m_self;
     timing m_limits;
     std::map<Common::process_id, Common::instant> m_promisedUntil;
-    std::map<Common::process_id, Common::log_offset> m_backedRemoval;
+    std::map<Common::process_id, backed_removal> m_backedRemovals;
     /// Newest membership version at which this member backed a newcomer.
     std::optional<Common::membership_version> m_backedJoin;
 };
--- a/Source/UnitTests/Core/Roster/PromiseTest.cpp
+++ b/Source/UnitTests/Core/Roster/PromiseTest.cpp
@@ -54,6 +54,22 @@
         later.applied = fleet.state.applied;
         CHECK(book.givePromise(later, fleet.state, true, start + std::chrono::hours(1)));
     }
+    SECTION("who backed the removal of one member promises nothing to another under that membership either")
+    {
+        const Roster::backing_request ofC { .target = { "c" },
+            .renewed = fleet.state.members.at({ "c" }).renewed,
+            .version = fleet.state.membershipVersion };
+        REQUIRE(book.giveBacking(ofC, fleet.state, true, start));
+        CHECK_FALSE(book.givePromise(ask, fleet.state, true, start + std::chrono::hours(1)));
+    }
+    SECTION("who promised one member backs no removal of another")
+    {
+        REQUIRE(book.givePromise(ask, fleet.state, true, start));
+        const Roster::backing_request ofC { .target = { "c" },
+            .renewed = fleet.state.members.at({ "c" }).renewed,
+            .version = fleet.state.membershipVersion };
+        CHECK_FALSE(book.giveBacking(ofC, fleet.state, true, start));
+    }
     SECTION("a removal without evidence of its own isn't backed")
     {
         CHECK_FALSE(book.giveBacking(removal, fleet.state, false, start));
@@ -77,16 +93,20 @@
         Roster::lease_keeper keeper({ "a" }, limits, start);
         const auto outage = start + millis(5000);
         keeper.beginPromiseRound(fleet.state, outage);
+        keeper.onPromiseGiven({ "a" }, fleet.state);
         CHECK_FALSE(keeper.mayAct(outage));
         keeper.onPromiseGiven({ "b" }, fleet.state);
         CHECK(keeper.actsUntil() == outage + limits.promise - limits.margin);
     }
-    SECTION("a member that has the log itself doesn't count towards its own promises")
+    SECTION("a member that promised itself backs no newcomer meanwhile")
     {
-        Roster::lease_keeper keeper({ "a" }, limits, start);
-        keeper.onLogAnswered(start + millis(4990));
-        keeper.beginPromiseRound(fleet.state, start + millis(5000));
-        keeper.onPromiseGiven({ "b" }, fleet.state);
-        CHECK_FALSE(keeper.mayAct(start + millis(5000)));
+        Roster::promise_book own({ "a" }, limits);
+        REQUIRE(own.givePromise(ask, fleet.state, true, start));
+        CHECK_FALSE(own.giveBacking({ .version = fleet.state.membershipVersion }, fleet.state, false, start));
+    }
+    SECTION("a member that has the log itself gives itself no promise")
+    {
+        Roster::promise_book own({ "a" }, limits);
+        CHECK_FALSE(own.givePromise(ask, fleet.state, false, start));
     }
 }
