--- a/Source/Core/Node/ControlLoop.cpp
+++ b/Source/Core/Node/ControlLoop.cpp
@@ -300,23 +300,32 @@
         for (const auto& shard : Roster::shardsToClaim(state, m_parts.hub.self()))
             m_parts.hub.submitOwn(Fleet::claim_shard { .shard = shard, .process = m_parts.hub.self() });
     }
-    constexpr std::string_view poolPrefix = "pool:";
     const auto& timing = m_parts.hub.settings().timing;
-    for (const auto& shard : Roster::shardsToRelease(state, m_parts.hub.self(), m_parts.hub.keeper(), timing, now)) {
-        const auto epoch = state.shards.at(shard).epoch;
-        const bool isPool = shard.value.starts_with(poolPrefix);
-        if (isPool && !m_parts.pools.closeDesk({ shard.value.substr(poolPrefix.size()) }, now))
-            continue;
-        if (!isPool)
-            m_parts.permits.closeLedger(shard, epoch);
-        m_parts.hub.submitOwn(
-            Fleet::release_shard { .shard = shard, .process = m_parts.hub.self(), .epoch = epoch });
+    auto releases = Roster::shardsToRelease(state, m_parts.hub.self(), m_parts.hub.keeper(), timing, now);
+    // A closed desk serves nobody, so its pool is released even if it should stay here after all.
+    for (const auto& pool : m_parts.pools.closingPools()) {
+        if (std::ranges::find(releases, Fleet::poolShard(pool)) == releases.end())
+            releases.push_back(Fleet::poolShard(pool));
     }
+    for (const auto& shard : releases)
+        release(shard, now);
+}
+
+void control_loop::release(const Common::shard_id& shard, Common::instant now)
+{
+    constexpr std::string_view poolPrefix = "pool:";
+    const auto epoch = m_parts.hub.state().shards.at(shard).epoch;
+    const bool isPool = shard.value.starts_with(poolPrefix);
+    if (isPool && !m_parts.pools.closeDesk({ shard.value.substr(poolPrefix.size()) }, now))
+        return;
+    if (!isPool)
+        m_parts.permits.closeLedger(shard, epoch);
+    m_parts.hub.submitOwn(Fleet::release_shard { .shard = shard, .process = m_parts.hub.self(), .epoch = epoch });
 }
 
 void control_loop::leaveIfDone(Common::instant now)
 {
-    if (!m_isRetiring || m_leaveAsked)
+    if (!m_isRetiring || !m_mayLeave || m_leaveAsked)
         return;
     const auto& state = m_parts.hub.state();
     const bool holdsShards = std::ranges::any_of(
--- a/Source/Core/Node/ControlLoop.h
+++ b/Source/Core/Node/ControlLoop.h
@@ -34,6 +34,8 @@
     void stop();
     /// From now on shards are given up and none is claimed.
     void retire() { m_isRetiring = true; }
+    /// From now on this daemon may leave the members, once it holds nothing.
+    void allowLeaving() { m_mayLeave = true; }
     /// Whether this daemon holds nothing any more.
     bool hasLeft() const { return m_hasLeft; }
 
@@ -50,6 +52,7 @@
     void join(Common::instant now);
     void leaveIfDone(Common::instant now);
     void claimAndRelease(Common::instant now);
+    void release(const Common::shard_id&, Common::instant now);
     void askPromises(Common::instant now);
     void expireLapsed(Common::instant now);
     void probeNeighbour(Common::instant now);
@@ -62,6 +65,7 @@
     std::unique_ptr<Targets::instance_list> m_instances;
     std::atomic<bool> m_stopping { false };
     std::atomic<bool> m_isRetiring { false };
+    std::atomic<bool> m_mayLeave { false };
     std::atomic<bool> m_hasLeft { false };
     bool m_retireAsked { false };
     bool m_leaveAsked { false };
--- a/Source/Core/Node/Daemon.cpp
+++ b/Source/Core/Node/Daemon.cpp
@@ -10,6 +10,7 @@
 #include "PlatformLog/HttpLogService.h"
 #include "Targets/HttpInstanceList.h"
 
+#include <functional>
 #include <thread>
 
 namespace Node {
@@ -102,11 +103,16 @@
     std::this_thread::sleep_for(m_parts->settings.balancerGrace);
     m_parts->requests.stopTaking();
     m_parts->control.retire();
-    bool isClean = false;
-    while (!isClean && Common::boot_clock::now() < deadline) {
-        std::this_thread::sleep_for(stopPoll);
-        isClean = m_parts->control.hasLeft() && m_parts->requests.open() == 0;
-    }
+    const auto waitFor = [deadline](const std::function<bool()>& condition) {
+        while (!condition() && Common::boot_clock::now() < deadline)
+            std::this_thread::sleep_for(stopPoll);
+        return condition();
+    };
+    // A daemon that has left can't route requests any more, so callers come first.
+    bool isClean = waitFor([this] { return m_parts->requests.open() == 0; });
+    m_parts->control.allowLeaving();
+    isClean = waitFor([this] { return m_parts->control.hasLeft(); }) && isClean;
+    isClean = waitFor([this] { return m_parts->requests.forwarded() == 0; }) && isClean;
     m_parts->callerServer.stop();
     m_parts->control.stop();
     m_parts->logs.stop();
--- a/Source/Core/Node/OperatorApi.cpp
+++ b/Source/Core/Node/OperatorApi.cpp
@@ -6,6 +6,7 @@
 #include "Reports/BurnReport.h"
 
 #include <algorithm>
+#include <thread>
 
 namespace Node {
 
@@ -21,6 +22,9 @@
     constexpr int httpConflict = 409;
     /// How long a change may take to be applied here before it is reported as unknown.
     constexpr Common::millis changeTimeout { 4000 };
+    /// How long to ask the other daemons whether they have applied a change before it is called pending.
+    constexpr Common::millis confirmTimeout { 1500 };
+    constexpr Common::millis confirmEvery { 20 };
 
     http_answer fault(int status, const char* error, const std::string& field)
     {
@@ -336,7 +340,12 @@
             { "standingRevision", result->standing }, { "offset", result->offset } };
         return { .status = httpConflict, .body = Common::writeJson(body) };
     }
-    const auto missing = unconfirmed(result->offset);
+    auto missing = unconfirmed(result->offset);
+    const auto deadline = Common::boot_clock::now() + confirmTimeout;
+    while (!missing.empty() && Common::boot_clock::now() < deadline) {
+        std::this_thread::sleep_for(confirmEvery);
+        missing = unconfirmed(result->offset);
+    }
     const json body { { "id", id }, { "state", missing.empty() ? "accepted" : "pending" }, { "offset", result->offset },
         { "unconfirmed", missing } };
     return { .status = missing.empty() ? httpOk : httpAccepted, .body = Common::writeJson(body) };
--- a/Source/Core/Node/PoolOffice.cpp
+++ b/Source/Core/Node/PoolOffice.cpp
@@ -591,6 +591,17 @@
     return true;
 }
 
+std::vector<Common::pool_id> pool_office::closingPools() const
+{
+    std::vector<Common::pool_id> pools;
+    for (const held_desk& held : m_desks) {
+        const auto epoch = m_parts.hub.heldEpoch(Fleet::poolShard(held.pool));
+        if (held.closing && epoch && *epoch == held.desk->epoch())
+            pools.push_back(held.pool);
+    }
+    return pools;
+}
+
 bool pool_office::isIdle() const
 {
     return std::ranges::all_of(m_desks, [](const held_desk& held) { return held.desk->isIdle(); });
--- a/Source/Core/Node/PoolOffice.h
+++ b/Source/Core/Node/PoolOffice.h
@@ -60,6 +60,8 @@
 
     /// Closes the desk of a pool; true once nothing of it is on its way to a worker.
     bool closeDesk(const Common::pool_id&, Common::instant now);
+    /// Pools whose desks were closed but whose shards are still held here; they must be released.
+    std::vector<Common::pool_id> closingPools() const;
     /// Whether no task runs and no request waits here.
     bool isIdle() const;
 
--- a/Source/Core/Node/RequestService.cpp
+++ b/Source/Core/Node/RequestService.cpp
@@ -98,14 +98,17 @@
 
 outcome request_service::runUntil(Requests::submission& submitted, Common::instant deadline)
 {
+    bool mayHaveRun = false;
     while (true) {
         const auto now = Common::boot_clock::now();
-        if (now >= deadline)
-            return Requests::notRun(refusal_reason::NoHolder);
+        if (now >= deadline) {
+            return mayHaveRun ? Requests::unknownOutcome(refusal_reason::HolderLost)
+                              : Requests::notRun(refusal_reason::NoHolder);
+        }
         const route found = routeOf(submitted, now);
         const bool isStale = found.refusal == refusal_reason::ViewStale;
         if (found.refusal && !isStale)
-            return Requests::notRun(*found.refusal);
+            return mayHaveRun ? Requests::unknownOutcome(*found.refusal) : Requests::notRun(*found.refusal);
         if (isStale || !found.holder) {
             std::this_thread::sleep_for(pauseBeforeRetry);
             continue;
@@ -120,10 +123,12 @@
         const attempt_result tried = attempt(found, forwarded);
         if (tried.isUnsettled && !submitted.work.idempotent)
             return settleUntil(submitted, forwarded.forwardId, deadline);
-        if (!tried.retry && !tried.isUnsettled)
+        const bool isFinal = !tried.retry && !tried.isUnsettled;
+        if (isFinal && mayHaveRun && tried.result.kind == Requests::outcome_kind::NotRun)
+            return Requests::unknownOutcome(tried.result.reason);
+        if (isFinal)
             return tried.result;
-        if (tried.isUnsettled && Common::boot_clock::now() >= deadline)
-            return Requests::unknownOutcome(refusal_reason::HolderLost);
+        mayHaveRun = mayHaveRun || tried.isUnsettled;
         std::this_thread::sleep_for(pauseBeforeRetry);
     }
 }
@@ -192,6 +197,7 @@
 
 outcome request_service::serveForwarded(const forwarded_request& forwarded)
 {
+    const open_count counted(m_forwarded);
     return waitLocally(forwarded.request.remaining, [&](Pool::waiter_ticket ticket) {
         return m_parts.pools.offer(forwarded, ticket, Common::boot_clock::now());
     });
@@ -199,6 +205,7 @@
 
 outcome request_service::serveSettle(const settle_query& query)
 {
+    const open_count counted(m_forwarded);
     return waitLocally(query.remaining, [&](Pool::waiter_ticket ticket) {
         return m_parts.pools.settle(query, ticket, Common::boot_clock::now());
     });
--- a/Source/Core/Node/RequestService.h
+++ b/Source/Core/Node/RequestService.h
@@ -63,7 +63,10 @@
 
     /// From now on new requests are refused; those that were taken are answered.
     void stopTaking() { m_stopping = true; }
+    /// Requests of callers that aren't answered yet.
     std::int64_t open() const { return m_open; }
+    /// Requests of other daemons that aren't answered yet.
+    std::int64_t forwarded() const { return m_forwarded; }
 
 private:
     struct route {
@@ -93,6 +96,7 @@
     parts m_parts;
     std::atomic<bool> m_stopping { false };
     std::atomic<std::int64_t> m_open { 0 };
+    std::atomic<std::int64_t> m_forwarded { 0 };
 };
 
 }
--- a/Source/Standins/StandinServer.cpp
+++ b/Source/Standins/StandinServer.cpp
@@ -9,6 +9,7 @@
     constexpr int httpUnavailable = 503;
     constexpr std::time_t idleSeconds = 10;
     constexpr std::size_t maxCallsPerConnection = 1'000'000;
+    constexpr Common::millis silencePoll { 10 };
     constexpr const char* faultPath = "/fault";
 
     struct fault_setting {
@@ -43,8 +44,9 @@
 {
     if (request.path == faultPath)
         return httplib::Server::HandlerResponse::Unhandled;
-    if (const auto silent = m_faults.value("silent"); silent > 0)
-        std::this_thread::sleep_for(Common::millis(silent));
+    const auto silentUntil = Common::boot_clock::now() + Common::millis(m_faults.value("silent"));
+    while (m_faults.isOn("silent") && Common::boot_clock::now() < silentUntil && m_server.is_running())
+        std::this_thread::sleep_for(silencePoll);
     if (!m_faults.isOn("down"))
         return httplib::Server::HandlerResponse::Unhandled;
     response.status = httpUnavailable;
--- a/Source/Standins/WorkerStandin.cpp
+++ b/Source/Standins/WorkerStandin.cpp
@@ -96,6 +96,8 @@
     added.endsAt = now + Common::millis(runMillis);
     added.succeeded = !faults().isOn("failAll");
     m_journal.push_back({ .task = name, .payload = added.payload, .at = now });
+    if (m_observer)
+        m_observer->onStarted(m_name, added.payload);
     m_tasks[name] = std::move(added);
     m_mostRunning = std::max(m_mostRunning, running());
     return true;
@@ -181,8 +183,7 @@
             const auto found = m_tasks.find(name);
             if (found == m_tasks.end() || found->second.ended)
                 continue;
-            found->second.ended = true;
-            found->second.succeeded = false;
+            end(found->second, false);
         }
         ++m_changes;
     }
@@ -199,6 +200,20 @@
         "application/json");
 }
 
+void worker_standin::observe(task_observer& observer, std::string name)
+{
+    m_observer = &observer;
+    m_name = std::move(name);
+}
+
+void worker_standin::end(task& entry, bool succeeded)
+{
+    entry.ended = true;
+    entry.succeeded = succeeded;
+    if (m_observer)
+        m_observer->onEnded(m_name, entry.payload);
+}
+
 void worker_standin::endDue(Common::instant now)
 {
     for (auto& [name, entry] : m_tasks) {
@@ -207,8 +222,7 @@
         const bool lapsed = now >= entry.leaseUntil;
         if (!lapsed && now < entry.endsAt)
             continue;
-        entry.ended = true;
-        entry.succeeded = entry.succeeded && !lapsed;
+        end(entry, entry.succeeded && !lapsed);
         ++m_changes;
     }
 }
--- a/Source/Standins/WorkerStandin.h
+++ b/Source/Standins/WorkerStandin.h
@@ -18,6 +18,14 @@
     std::int64_t slots { 8 };
 };
 
+/// Told of each task that starts and ends on a stand-in worker.
+class task_observer {
+public:
+    virtual ~task_observer() = default;
+    virtual void onStarted(const std::string& worker, const std::string& payload) = 0;
+    virtual void onEnded(const std::string& worker, const std::string& payload) = 0;
+};
+
 /// A worker that runs tasks under leases. The payload tells what a task does: `{"runMs":N,"answer":"TEXT"}`;
 /// anything else is answered at once with "ran:PAYLOAD". Faults: `down`, `silent` (ms), `failAll`,
 /// `leaving`, `cutAnswers` (count of results whose body is cut), `loseStarts` (count of starts that take
@@ -27,6 +35,9 @@
     worker_standin(const Common::endpoint&, worker_size);
     ~worker_standin();
 
+    /// Set before the start; `name` is what the observer is told.
+    void observe(task_observer& observer, std::string name);
+
     bool start() { return m_server.start(); }
     std::uint16_t port() const { return m_server.port(); }
     fault_switch& faults() { return m_server.faults(); }
@@ -57,6 +68,7 @@
     void onStop(const httplib::Request&, httplib::Response&);
     void onJournal(httplib::Response&);
     bool tryStart(const Common::json&, Common::instant now);
+    void end(task&, bool succeeded);
     void runClock();
     void endDue(Common::instant now);
     std::int64_t clock(Common::instant) const;
@@ -65,6 +77,8 @@
     Common::json describeFinished(const Common::json& request);
 
     standin_server m_server;
+    task_observer* m_observer { nullptr };
+    std::string m_name;
     worker_size m_size;
     std::string m_life;
     Common::instant m_began;
--- /dev/null
+++ b/Source/UnitTests/Sessions/LimitsTest.cpp
@@ -0,0 +1,100 @@
+#include "Sessions/Callers.h"
+#include "Sessions/Deployment.h"
+
+#include <catch2/catch.hpp>
+#include <csignal>
+
+using Sessions::waitUntil;
+
+namespace {
+
+void waitForSome(const Sessions::caller_crowd& crowd, int more)
+{
+    const int before = crowd.finished();
+    waitUntil("more requests are answered", [&] { return crowd.finished() >= before + more; });
+}
+
+}
+
+TEST_CASE("A team never runs more than its upper limit, whoever is killed", "[limits]")
+{
+    constexpr int upperLimit = 5;
+    Sessions::deployment target({ .daemons = 3, .workers = 6 });
+    target.startAll();
+    target.setUpShifts("day", upperLimit);
+    REQUIRE(target.change(0, "queue", R"({"queue":"cutting","pool":"shifts2"})").status == 200);
+    Sessions::caller_crowd crowd(target, { .callers = 12, .runMillis = 60, .daemons = { 0, 1, 2 } });
+    waitForSome(crowd, 40);
+    CHECK(target.audit().mostRunning("day") == upperLimit);
+    for (int daemon = 0; daemon < 3; ++daemon) {
+        target.daemon(daemon).signal(SIGKILL);
+        target.daemon(daemon).wait();
+        target.startDaemon(daemon);
+        waitForSome(crowd, 40);
+        target.waitReady(daemon);
+    }
+    waitForSome(crowd, 40);
+    crowd.stop();
+    CHECK(target.audit().mostRunning("day") <= upperLimit);
+}
+
+TEST_CASE("A data centre that operators take out starts nothing more after seconds", "[limits]")
+{
+    Sessions::deployment target({ .daemons = 3, .workers = 6 });
+    target.startAll();
+    target.setUpShifts("day", 16);
+    Sessions::caller_crowd crowd(target, { .callers = 8, .daemons = { 0, 1, 2 } });
+    waitForSome(crowd, 100);
+    const int frozen = (target.holderOf("shifts") + 1) % 3;
+    target.daemon(frozen).signal(SIGSTOP);
+    const auto out = target.change(target.holderOf("shifts"), "data-centre", R"({"name":"dc1","out":true})", "out-1");
+
+    SECTION("it is pending, and names who hasn't confirmed, while a daemon is frozen")
+    {
+        CHECK(out.field("state") == "pending");
+        CHECK(out.body.find("e" + std::to_string(frozen)) != std::string::npos);
+    }
+    target.daemon(frozen).signal(SIGCONT);
+    const auto since = Common::boot_clock::now() + std::chrono::seconds(3);
+    waitUntil("a few seconds are over", [&] { return Common::boot_clock::now() > since; });
+    waitForSome(crowd, 200);
+    CHECK(target.audit().startsOn("dc1", since) == 0);
+
+    SECTION("and it works again after it was brought back")
+    {
+        waitUntil("the data centre is back", [&] {
+            return target.change(0, "data-centre", R"({"name":"dc1","out":false})", "in-1").field("state") == "accepted";
+        });
+        const auto back = Common::boot_clock::now();
+        waitForSome(crowd, 200);
+        CHECK(target.audit().startsOn("dc1", back) > 0);
+    }
+    crowd.stop();
+}
+
+TEST_CASE("An instance moves between pools under load and is never used by both", "[limits]")
+{
+    Sessions::deployment target({ .daemons = 3, .workers = 6 });
+    target.startAll();
+    target.setUpShifts("day", 16);
+    REQUIRE(target.change(0, "queue", R"({"queue":"cutting","pool":"cutters"})").status == 200);
+    Sessions::caller_crowd crowd(target, { .callers = 8, .runMillis = 100, .daemons = { 0, 1, 2 } });
+    waitForSome(crowd, 50);
+    REQUIRE(target.change(0, "move", R"({"instance":"dc1-w0","pool":"cutters"})").status == 200);
+    const auto phaseOf = [&](int daemon) {
+        const auto instances = target.stateList(daemon, "instances");
+        for (const auto& entry : instances) {
+            if (entry.at("instance") == "dc1-w0")
+                return entry.at("pool").get<std::string>() + " " + entry.at("phase").get<std::string>();
+        }
+        return std::string();
+    };
+    waitUntil("the instance has joined its new pool", [&] { return phaseOf(0) == "cutters in_pool"; });
+    const auto moved = Common::boot_clock::now();
+    waitForSome(crowd, 100);
+    CHECK(target.audit().startsOn("dc1-w0", moved) == 0);
+    const auto answer = target.callers(1, "/v1/requests", Sessions::submissionOf({ .name = "cut-1", .queue = "cutting" }));
+    CHECK(answer.field("outcome") == "done");
+    crowd.stop();
+    CHECK(crowd.count("done") == crowd.finished());
+}
--- /dev/null
+++ b/Source/UnitTests/Sessions/OutageTest.cpp
@@ -0,0 +1,121 @@
+#include "Sessions/Callers.h"
+#include "Sessions/Deployment.h"
+
+#include <catch2/catch.hpp>
+#include <csignal>
+
+using Sessions::submissionOf;
+using Sessions::waitUntil;
+
+namespace {
+
+void waitForSome(const Sessions::caller_crowd& crowd, int more)
+{
+    const int before = crowd.finished();
+    waitUntil("more requests are answered", [&] { return crowd.finished() >= before + more; });
+}
+
+void passTime(Common::millis span)
+{
+    const auto end = Common::boot_clock::now() + span;
+    waitUntil("some time is over", [&] { return Common::boot_clock::now() > end; });
+}
+
+}
+
+TEST_CASE("The platform's log is down for longer than any lease", "[outage]")
+{
+    Sessions::deployment target({ .daemons = 3, .workers = 6 });
+    target.startAll();
+    target.setUpShifts("day", 16);
+    Sessions::caller_crowd crowd(target, { .callers = 6, .daemons = { 0, 1, 2 } });
+    waitForSome(crowd, 50);
+    target.log().faults().set("down", 1);
+    passTime(std::chrono::seconds(9));
+
+    SECTION("idempotent work goes on")
+    {
+        waitForSome(crowd, 200);
+        crowd.stop();
+        CHECK(crowd.count("done") == crowd.finished());
+    }
+    SECTION("work that needs the log is certainly not run, and runs once the log is back")
+    {
+        const auto refused
+            = target.callers(0, "/v1/requests", submissionOf({ .name = "kit-1", .idempotent = false, .deadlineMillis = 2000 }));
+        CHECK(refused.field("outcome") == "not_run");
+        CHECK(refused.field("reason") == "log_unavailable");
+        CHECK(target.audit().starts("kit-1") == 0);
+        target.log().faults().set("down", 0);
+        waitUntil("the kit is released", [&] {
+            const auto answer = target.callers(1, "/v1/requests", submissionOf({ .name = "kit-1", .idempotent = false }));
+            return answer.field("outcome") == "done";
+        });
+        CHECK(target.audit().starts("kit-1") == 1);
+    }
+    SECTION("a daemon that is left alone refuses, and the rest of the fleet with it")
+    {
+        const int alone = target.holderOf("shifts");
+        for (int daemon = 0; daemon < 3; ++daemon) {
+            if (daemon != alone)
+                target.daemon(daemon).signal(SIGSTOP);
+        }
+        waitUntil("it is no longer ready", [&] { return !target.isReady(alone); });
+        const auto refused = target.callers(alone, "/v1/requests", submissionOf({ .name = "alone", .deadlineMillis = 500 }));
+        CHECK(refused.field("outcome") == "not_run");
+        CHECK(target.audit().starts("alone") == 0);
+        for (int daemon = 0; daemon < 3; ++daemon)
+            target.daemon(daemon).signal(SIGCONT);
+        target.log().faults().set("down", 0);
+        for (int daemon = 0; daemon < 3; ++daemon)
+            target.waitReady(daemon);
+    }
+    crowd.stop();
+}
+
+TEST_CASE("The log's answers are lost after they took effect", "[outage]")
+{
+    Sessions::deployment target({ .daemons = 3, .workers = 6 });
+    target.startAll();
+    target.setUpShifts("day", 16);
+    target.log().faults().set("loseAnswers", 3);
+    const auto drained = target.change(0, "drain", R"({"instance":"dc1-w0"})", "drain-1");
+    waitUntil("the change is known to have been accepted",
+        [&] { return target.change(0, "drain", R"({"instance":"dc1-w0"})", "drain-1").field("state") == "accepted"; });
+    INFO(drained.body);
+
+    SECTION("a change is made once")
+    {
+        int lines = 0;
+        const auto history = target.stateList(1, "history");
+        for (const auto& entry : history)
+            lines += entry.at("what") == "drain_instance" ? 1 : 0;
+        CHECK(lines == 1);
+    }
+    SECTION("requests that must run at most once run once")
+    {
+        target.log().faults().set("loseAnswers", 5);
+        Sessions::caller_crowd crowd(target, { .callers = 4, .idempotent = false, .daemons = { 0, 1, 2 } });
+        waitForSome(crowd, 40);
+        crowd.stop();
+        CHECK(target.audit().startedTwice().empty());
+        CHECK(crowd.count("no_answer") == 0);
+    }
+}
+
+TEST_CASE("Records expire, and a new daemon starts from a snapshot", "[outage]")
+{
+    Sessions::deployment target({ .daemons = 3, .workers = 3, .extraSettings = "[timing]\nrenew_every_ms = 100\n[limits]\nsnapshot_every_records = 30\n" });
+    target.startAll();
+    target.setUpShifts("day", 16);
+    waitUntil("the log has grown", [&] { return target.log().end() > 100; });
+    target.log().faults().set("keep", 60);
+    waitUntil("the oldest records are gone", [&] { return target.log().end() > 160; });
+    target.daemon(0).signal(SIGKILL);
+    target.daemon(0).wait();
+    target.startDaemon(0);
+    target.waitReady(0);
+    const auto answer = target.callers(0, "/v1/requests", submissionOf({ .name = "check-1" }));
+    CHECK(answer.field("outcome") == "done");
+    CHECK(target.state(0, "instances").body == target.state(1, "instances").body);
+}
