--- /dev/null
+++ b/Source/Bench/Percentiles.cpp
@@ -0,0 +1,16 @@
+#include "Bench/Percentiles.h"
+
+#include <algorithm>
+
+namespace Bench {
+
+double percentile(std::vector<double>& samples, double part)
+{
+    if (samples.empty())
+        return 0;
+    std::ranges::sort(samples);
+    const auto rank = static_cast<std::size_t>(part * static_cast<double>(samples.size()));
+    return samples[std::min(rank, samples.size() - 1)];
+}
+
+}
--- a/Source/Core/Node/HttpPeerClient.cpp
+++ b/Source/Core/Node/HttpPeerClient.cpp
@@ -114,14 +114,21 @@
 std::optional<Requests::outcome> http_peer_client::forward(
     const Common::endpoint& peer, const forwarded_request& request, peer_failure& failure)
 {
-    const call_options options { .path = "/peer/forward", .body = encode(request), .wait = request.request.remaining };
+    const call_options options { .path = "/peer/forward", .body = encode(request), .wait = holderAnswersWithin };
+    return ask<Requests::outcome>(peer, options, failure);
+}
+
+std::optional<Requests::outcome> http_peer_client::await(
+    const Common::endpoint& peer, const await_query& query, peer_failure& failure)
+{
+    const call_options options { .path = "/peer/await", .body = encode(query), .wait = holderAnswersWithin };
     return ask<Requests::outcome>(peer, options, failure);
 }
 
 std::optional<Requests::outcome> http_peer_client::settle(
     const Common::endpoint& peer, const settle_query& query, peer_failure& failure)
 {
-    const call_options options { .path = "/peer/settle", .body = encode(query), .wait = query.remaining };
+    const call_options options { .path = "/peer/settle", .body = encode(query), .wait = holderAnswersWithin };
     return ask<Requests::outcome>(peer, options, failure);
 }
 
--- a/Source/Core/Node/HttpPeerClient.h
+++ b/Source/Core/Node/HttpPeerClient.h
@@ -29,6 +29,7 @@
     std::optional<cancel_reply> cancel(const Common::endpoint&, const Requests::work_identity&) override;
     std::optional<Requests::outcome> forward(
         const Common::endpoint&, const forwarded_request&, peer_failure&) override;
+    std::optional<Requests::outcome> await(const Common::endpoint&, const await_query&, peer_failure&) override;
     std::optional<Requests::outcome> settle(const Common::endpoint&, const settle_query&, peer_failure&) override;
 
 private:
--- a/Source/Core/Node/HttpServer.cpp
+++ b/Source/Core/Node/HttpServer.cpp
@@ -9,9 +9,13 @@
     constexpr const char* jsonType = "application/json";
     constexpr const char* keyHeader = "X-Loft-Key";
     /// A connection that sends nothing for so long is closed, to free its thread.
-    constexpr std::time_t idleSeconds = 5;
+    constexpr std::time_t idleSeconds = 3;
     constexpr std::size_t maxCallsPerConnection = 1'000'000;
 
+    /// Connections that may wait to be accepted; the library's own number is 5, and a connection that is
+    /// dropped there can stay silent for a minute.
+    constexpr int listenBacklog = 512;
+
     http_call toCall(const httplib::Request& request)
     {
         http_call call { .body = request.body, .key = request.get_header_value(keyHeader), .rest = {} };
@@ -29,9 +33,15 @@
 
 }
 
+/// The library's server with a longer queue of connections.
+class patient_server final : public httplib::Server {
+public:
+    bool widenBacklog() { return ::listen(svr_sock_, listenBacklog) == 0; }
+};
+
 http_server::http_server(const options& chosen)
     : m_options(chosen)
-    , m_server(std::make_unique<httplib::Server>())
+    , m_server(std::make_unique<patient_server>())
 {
     const std::size_t threads = m_options.threads;
     m_server->new_task_queue = [threads] { return new httplib::ThreadPool(threads); };
@@ -76,6 +86,7 @@
 {
     if (!m_server->bind_to_port(m_options.address.host.c_str(), m_options.address.port))
         return false;
+    m_server->widenBacklog();
     m_thread = std::thread([this] { m_server->listen_after_bind(); });
     while (!m_server->is_running())
         std::this_thread::yield();
--- a/Source/Core/Node/HttpServer.h
+++ b/Source/Core/Node/HttpServer.h
@@ -7,12 +7,10 @@
 #include <string>
 #include <thread>
 
-namespace httplib {
-class Server;
-}
-
 namespace Node {
 
+class patient_server;
+
 /// Answer to an HTTP call: a status and a JSON body.
 struct http_answer {
     int status { 200 };
@@ -53,7 +51,7 @@
 
 private:
     options m_options;
-    std::unique_ptr<httplib::Server> m_server;
+    std::unique_ptr<patient_server> m_server;
     std::thread m_thread;
 };
 
--- a/Source/Core/Node/PeerApi.cpp
+++ b/Source/Core/Node/PeerApi.cpp
@@ -23,6 +23,7 @@
     server.onPost("/peer/backing", [this](const http_call& call) { return onBacking(call); });
     server.onPost("/peer/permits", [this](const http_call& call) { return onPermits(call); });
     server.onPost("/peer/forward", [this](const http_call& call) { return onForward(call); });
+    server.onPost("/peer/await", [this](const http_call& call) { return onAwait(call); });
     server.onPost("/peer/settle", [this](const http_call& call) { return onSettle(call); });
     server.onPost("/peer/cancel", [this](const http_call& call) { return onCancel(call); });
     server.onPost("/peer/view", [this](const http_call&) { return onView(); });
@@ -79,6 +80,14 @@
     return { .body = encode(m_parts.requests.serveForwarded(*forwarded)) };
 }
 
+http_answer peer_api::onAwait(const http_call& call)
+{
+    const auto query = decode<await_query>(call.body);
+    if (!query)
+        return badMessage();
+    return { .body = encode(m_parts.requests.serveAwait(*query)) };
+}
+
 http_answer peer_api::onSettle(const http_call& call)
 {
     const auto query = decode<settle_query>(call.body);
--- a/Source/Core/Node/PeerApi.h
+++ b/Source/Core/Node/PeerApi.h
@@ -28,6 +28,7 @@
     http_answer onBacking(const http_call&);
     http_answer onPermits(const http_call&);
     http_answer onForward(const http_call&);
+    http_answer onAwait(const http_call&);
     http_answer onSettle(const http_call&);
     http_answer onCancel(const http_call&);
     http_answer onView();
--- a/Source/Core/Node/PeerClient.h
+++ b/Source/Core/Node/PeerClient.h
@@ -15,6 +15,10 @@
     NoAnswer
 };
 
+/// Longest time in which a holder answers a call about a request, if only that it still holds it. A
+/// holder that has gone silent is noticed this soon.
+constexpr Common::millis holderAnswersWithin { 1000 };
+
 /// Calls to other daemons. Safe for concurrent use.
 class peer_client {
 public:
@@ -26,10 +30,14 @@
     virtual std::optional<view_reply> view(const Common::endpoint&) = 0;
     virtual std::optional<cancel_reply> cancel(const Common::endpoint&, const Requests::work_identity&) = 0;
 
-    /// Forwards a request and waits for its outcome. Empty on a failure, which `failure` tells.
+    /// Forwards a request. The outcome `Unknown` with `StillWaiting` says to ask on with `await`.
+    /// Empty on a failure, which `failure` tells.
     virtual std::optional<Requests::outcome> forward(
         const Common::endpoint&, const forwarded_request&, peer_failure& failure)
         = 0;
+    virtual std::optional<Requests::outcome> await(
+        const Common::endpoint&, const await_query&, peer_failure& failure)
+        = 0;
     virtual std::optional<Requests::outcome> settle(
         const Common::endpoint&, const settle_query&, peer_failure& failure)
         = 0;
--- a/Source/Core/Node/PeerCodec.cpp
+++ b/Source/Core/Node/PeerCodec.cpp
@@ -30,6 +30,7 @@
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(permit_exchange, reports)
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(permit_exchange_reply, grants)
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(forwarded_request, request, key, forwardId, epoch)
+NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(await_query, forwardId)
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(cancel_reply, certainlyNotRun)
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(view_reply, process, applied)
 
@@ -53,6 +54,7 @@
 std::string encode(const permit_exchange_reply& message) { return Common::writeJson(json(message)); }
 std::string encode(const forwarded_request& message) { return Common::writeJson(json(message)); }
 std::string encode(const settle_query& message) { return Common::writeJson(json(message)); }
+std::string encode(const await_query& message) { return Common::writeJson(json(message)); }
 std::string encode(const Requests::work_identity& message) { return Common::writeJson(json(message)); }
 std::string encode(const Requests::outcome& message) { return Common::writeJson(json(message)); }
 std::string encode(const cancel_reply& message) { return Common::writeJson(json(message)); }
@@ -100,6 +102,12 @@
     return Common::readJson<settle_query>(text);
 }
 
+template <>
+std::optional<await_query> decode(std::string_view text)
+{
+    return Common::readJson<await_query>(text);
+}
+
 template <>
 std::optional<Requests::work_identity> decode(std::string_view text)
 {
--- a/Source/Core/Node/PeerCodec.h
+++ b/Source/Core/Node/PeerCodec.h
@@ -16,6 +16,7 @@
 std::string encode(const permit_exchange_reply&);
 std::string encode(const forwarded_request&);
 std::string encode(const settle_query&);
+std::string encode(const await_query&);
 std::string encode(const Requests::work_identity&);
 std::string encode(const Requests::outcome&);
 std::string encode(const cancel_reply&);
@@ -40,6 +41,8 @@
 template <>
 std::optional<settle_query> decode(std::string_view);
 template <>
+std::optional<await_query> decode(std::string_view);
+template <>
 std::optional<Requests::work_identity> decode(std::string_view);
 template <>
 std::optional<Requests::outcome> decode(std::string_view);
--- a/Source/Core/Node/PeerMessages.h
+++ b/Source/Core/Node/PeerMessages.h
@@ -45,6 +45,11 @@
     Common::millis remaining { 0 };
 };
 
+/// Asks on for a forwarded request that the holder said it still holds.
+struct await_query {
+    std::string forwardId;
+};
+
 struct cancel_reply {
     bool certainlyNotRun { false };
 };
--- a/Source/Core/Node/PoolOffice.cpp
+++ b/Source/Core/Node/PoolOffice.cpp
@@ -175,6 +175,7 @@
     m_desks.clear();
     m_intents.clear();
     m_unresolved.clear();
+    m_startedBefore.clear();
     for (auto& [instance, session] : m_sessions) {
         session->askToEnd();
         m_ended.push_back(std::move(session));
@@ -225,8 +226,25 @@
         if (work.phase == Fleet::work_phase::Queued)
             offerFromLog(held, identity, work, now);
         if (work.phase == Fleet::work_phase::Intended)
-            adopt(identity, work, now);
+            m_startedBefore.insert(identity);
     }
+    adoptOrphans(now);
+}
+
+void pool_office::adoptOrphans(Common::instant now)
+{
+    const auto& state = m_parts.hub.state();
+    std::erase_if(m_startedBefore, [&](const Requests::work_identity& identity) {
+        const auto work = state.works.find(identity);
+        const bool isOpen = work != state.works.end() && work->second.phase == Fleet::work_phase::Intended;
+        if (!isOpen || m_unresolved.contains(work->second.task))
+            return true;
+        const std::string& task = work->second.task.value;
+        if (state.members.contains({ task.substr(0, task.find('.')) }))
+            return false;
+        adopt(identity, work->second, now);
+        return true;
+    });
 }
 
 void pool_office::adopt(const Requests::work_identity& identity, const Fleet::work_record& work, Common::instant now)
@@ -256,18 +274,19 @@
 
 void pool_office::onTouched(const Requests::work_identity& identity, Common::instant now)
 {
-    const auto pool = poolOfQueue(identity.queue);
-    held_desk* const held = pool ? openDesk(*pool) : nullptr;
     const auto found = m_parts.hub.state().works.find(identity);
-    if (!held || found == m_parts.hub.state().works.end())
+    if (found == m_parts.hub.state().works.end())
         return;
     const Fleet::work_record& work = found->second;
+    const auto pool = poolOfQueue(identity.queue);
+    held_desk* const open = pool ? openDesk(*pool) : nullptr;
     switch (work.phase) {
     case Fleet::work_phase::Queued:
-        if (!held->desk->find(identity))
-            offerFromLog(*held, identity, work, now);
+        if (open && !open->desk->find(identity))
+            offerFromLog(*open, identity, work, now);
         break;
     case Fleet::work_phase::Intended:
+        // Also for a desk that is closing: it waits for its intents before the pool is released.
         onIntendedRecord(identity, work, now);
         break;
     case Fleet::work_phase::Finished:
@@ -541,6 +560,7 @@
 void pool_office::tick(Common::instant now)
 {
     pump(now);
+    adoptOrphans(now);
     moveInstances(now);
     endIdleSessions();
     dropForeignDesks(now);
--- a/Source/Core/Node/PoolOffice.h
+++ b/Source/Core/Node/PoolOffice.h
@@ -102,6 +102,8 @@
     void openDesks(Common::instant now);
     void dropForeignDesks(Common::instant now);
     void takeOverWork(held_desk&, Common::instant now);
+    /// Adopts started work whose earlier holder is gone. One that only released the pool sees to its own.
+    void adoptOrphans(Common::instant now);
     void adopt(const Requests::work_identity&, const Fleet::work_record&, Common::instant now);
     void offerFromLog(held_desk&, const Requests::work_identity&, const Fleet::work_record&, Common::instant now);
     void onTouched(const Requests::work_identity&, Common::instant now);
@@ -129,6 +131,8 @@
     std::map<Common::command_id, Requests::work_identity> m_intents;
     /// Tasks of lost holders, or lost here, whose results may still come.
     std::map<Common::task_id, Requests::work_identity> m_unresolved;
+    /// Work that an earlier holder had started when this daemon took its pool over.
+    std::set<Requests::work_identity> m_startedBefore;
     std::map<Requests::work_identity, std::vector<Pool::waiter_ticket>> m_resolving;
     /// Forwardings that were declared void, and until when that is remembered.
     std::map<std::string, Common::instant> m_voided;
--- a/Source/Core/Node/RequestService.cpp
+++ b/Source/Core/Node/RequestService.cpp
@@ -36,6 +36,11 @@
         std::atomic<std::int64_t>& m_count;
     };
 
+    bool isStillWaiting(const outcome& result)
+    {
+        return result.kind == Requests::outcome_kind::Unknown && result.reason == refusal_reason::StillWaiting;
+    }
+
     bool isWorthRetrying(const outcome& result)
     {
         const bool elsewhere = result.reason == refusal_reason::HolderMoved || result.reason == refusal_reason::ViewStale;
@@ -137,16 +142,14 @@
 {
     attempt_result tried;
     if (found.isLocal) {
-        tried.result = serveForwarded(forwarded);
+        tried.result = offerHere(forwarded);
     } else {
         peer_failure failure = peer_failure::None;
-        const auto answer = m_parts.peers.forward(found.address, forwarded, failure);
-        if (!answer) {
-            tried.retry = failure == peer_failure::NotReached;
-            tried.isUnsettled = !tried.retry;
+        tried.result = forwardTo(found.address, forwarded, failure);
+        tried.retry = failure == peer_failure::NotReached;
+        tried.isUnsettled = failure == peer_failure::NoAnswer;
+        if (failure != peer_failure::None)
             return tried;
-        }
-        tried.result = *answer;
     }
     tried.retry = isWorthRetrying(tried.result);
     const bool cut = !Requests::isWhole(tried.result);
@@ -175,40 +178,110 @@
             answer = m_parts.peers.settle(found.address, query, failure);
         }
         const bool notHere = answer && answer->kind == Requests::outcome_kind::Unknown
-            && (answer->reason == refusal_reason::ViewStale || answer->reason == refusal_reason::HolderMoved);
+            && (answer->reason == refusal_reason::ViewStale || answer->reason == refusal_reason::HolderMoved
+                || isStillWaiting(*answer));
         if (answer && !notHere && Requests::isWhole(*answer))
             return *answer;
         std::this_thread::sleep_for(pauseBeforeRetry);
     }
 }
 
-template <typename Ask>
-outcome request_service::waitLocally(Common::millis longest, Ask ask)
+outcome request_service::forwardTo(
+    const Common::endpoint& holder, const forwarded_request& forwarded, peer_failure& failure)
+{
+    auto answer = m_parts.peers.forward(holder, forwarded, failure);
+    while (answer && isStillWaiting(*answer)) {
+        answer = m_parts.peers.await(holder, { forwarded.forwardId }, failure);
+        // Once the holder has the request, not reaching it any more proves nothing.
+        if (!answer)
+            failure = peer_failure::NoAnswer;
+    }
+    return answer.value_or(Requests::unknownOutcome(refusal_reason::HolderLost));
+}
+
+outcome request_service::offerHere(const forwarded_request& forwarded)
 {
     const auto waiting = m_parts.waiters.add();
     {
         const auto lock = m_parts.hub.hold();
-        if (const auto told = ask(waiting->ticket()))
+        if (const auto told = m_parts.pools.offer(forwarded, waiting->ticket(), Common::boot_clock::now()))
             return *told;
     }
-    const auto told = waiting->wait(longest + deadlineGrace);
+    const auto told = waiting->wait(forwarded.request.remaining + deadlineGrace);
     return told.value_or(Requests::unknownOutcome(refusal_reason::DeadlinePassed));
 }
 
 outcome request_service::serveForwarded(const forwarded_request& forwarded)
 {
     const open_count counted(m_forwarded);
-    return waitLocally(forwarded.request.remaining, [&](Pool::waiter_ticket ticket) {
-        return m_parts.pools.offer(forwarded, ticket, Common::boot_clock::now());
-    });
+    const auto now = Common::boot_clock::now();
+    held_forward held { .waiting = m_parts.waiters.add(),
+        .deadline = now + forwarded.request.remaining + deadlineGrace };
+    {
+        const auto lock = m_parts.hub.hold();
+        if (const auto told = m_parts.pools.offer(forwarded, held.waiting->ticket(), now))
+            return *told;
+    }
+    return waitShortly(forwarded.forwardId, std::move(held));
+}
+
+outcome request_service::serveAwait(const await_query& query)
+{
+    const open_count counted(m_forwarded);
+    auto held = takeHeld(query.forwardId);
+    if (!held)
+        return Requests::unknownOutcome(refusal_reason::HolderLost);
+    return waitShortly(query.forwardId, std::move(*held));
+}
+
+outcome request_service::waitShortly(const std::string& forwardId, held_forward held)
+{
+    const auto left = Common::elapsed(Common::boot_clock::now(), held.deadline);
+    if (const auto told = held.waiting->wait(std::min(left, holderAnswersWithin)))
+        return *told;
+    if (left <= holderAnswersWithin)
+        return Requests::unknownOutcome(refusal_reason::DeadlinePassed);
+    keepHeld(forwardId, std::move(held));
+    return Requests::unknownOutcome(refusal_reason::StillWaiting);
+}
+
+void request_service::keepHeld(const std::string& forwardId, held_forward held)
+{
+    forwarded();
+    const std::lock_guard lock(m_heldLock);
+    m_held[forwardId] = std::move(held);
+}
+
+std::int64_t request_service::forwarded()
+{
+    const std::lock_guard lock(m_heldLock);
+    const auto now = Common::boot_clock::now();
+    std::erase_if(m_held, [now](const auto& entry) { return entry.second.deadline < now; });
+    return m_forwarded + static_cast<std::int64_t>(m_held.size());
+}
+
+std::optional<request_service::held_forward> request_service::takeHeld(const std::string& forwardId)
+{
+    const std::lock_guard lock(m_heldLock);
+    const auto found = m_held.find(forwardId);
+    if (found == m_held.end())
+        return std::nullopt;
+    held_forward held = std::move(found->second);
+    m_held.erase(found);
+    return held;
 }
 
 outcome request_service::serveSettle(const settle_query& query)
 {
     const open_count counted(m_forwarded);
-    return waitLocally(query.remaining, [&](Pool::waiter_ticket ticket) {
-        return m_parts.pools.settle(query, ticket, Common::boot_clock::now());
-    });
+    const auto waiting = m_parts.waiters.add();
+    {
+        const auto lock = m_parts.hub.hold();
+        if (const auto told = m_parts.pools.settle(query, waiting->ticket(), Common::boot_clock::now()))
+            return *told;
+    }
+    const auto told = waiting->wait(std::min(query.remaining, holderAnswersWithin));
+    return told.value_or(Requests::unknownOutcome(refusal_reason::StillWaiting));
 }
 
 queue_receipt request_service::enqueue(const Requests::submission& submitted)
--- a/Source/Core/Node/RequestService.h
+++ b/Source/Core/Node/RequestService.h
@@ -7,6 +7,9 @@
 #include "Node/WaiterTable.h"
 
 #include <atomic>
+#include <map>
+#include <memory>
+#include <mutex>
 #include <optional>
 
 namespace Node {
@@ -59,14 +62,15 @@
 
     /// For requests and questions that another daemon forwarded to this one.
     Requests::outcome serveForwarded(const forwarded_request&);
+    Requests::outcome serveAwait(const await_query&);
     Requests::outcome serveSettle(const settle_query&);
 
     /// From now on new requests are refused; those that were taken are answered.
     void stopTaking() { m_stopping = true; }
     /// Requests of callers that aren't answered yet.
     std::int64_t open() const { return m_open; }
-    /// Requests of other daemons that aren't answered yet.
-    std::int64_t forwarded() const { return m_forwarded; }
+    /// Requests of other daemons that aren't answered yet, or whose answer wasn't fetched yet.
+    std::int64_t forwarded();
 
 private:
     struct route {
@@ -90,10 +94,21 @@
     attempt_result attempt(const route&, const forwarded_request&);
     Requests::outcome runUntil(Requests::submission&, Common::instant deadline);
     Requests::outcome settleUntil(const Requests::submission&, const std::string& forwardId, Common::instant deadline);
-    template <typename Ask>
-    Requests::outcome waitLocally(Common::millis longest, Ask ask);
+    /// A forwarded request that its forwarder asks for again and again.
+    struct held_forward {
+        std::unique_ptr<waiter_table::registration> waiting;
+        Common::instant deadline;
+    };
+
+    Requests::outcome offerHere(const forwarded_request&);
+    Requests::outcome forwardTo(const Common::endpoint&, const forwarded_request&, peer_failure&);
+    Requests::outcome waitShortly(const std::string& forwardId, held_forward);
+    void keepHeld(const std::string& forwardId, held_forward);
+    std::optional<held_forward> takeHeld(const std::string& forwardId);
 
     parts m_parts;
+    std::mutex m_heldLock;
+    std::map<std::string, held_forward> m_held;
     std::atomic<bool> m_stopping { false };
     std::atomic<std::int64_t> m_open { 0 };
     std::atomic<std::int64_t> m_forwarded { 0 };
--- a/Source/Core/Pool/PoolDesk.h
+++ b/Source/Core/Pool/PoolDesk.h
@@ -136,11 +136,13 @@
     std::vector<settlement> abandon();
     /// Whether nothing is on its way to a worker any more.
     bool hasSettledStarts() const;
-    bool isIdle() const { return m_tasks.empty(); }
+    /// Whether nothing waits, runs, or is still to be told.
+    bool isIdle() const { return m_tasks.empty() && m_orders.settlements.empty(); }
 
     std::optional<task_view> find(const Requests::work_identity&) const;
     std::optional<task_view> findTask(const Common::task_id&) const;
     std::vector<task_view> tasks() const;
+    std::size_t waiting(const Common::team_id& team) const { return m_queue.waiting(team); }
     std::size_t waitingTotal() const { return m_queue.waitingTotal(); }
 
     /// Orders since the last call.
--- a/Source/Core/Requests/Outcome.cpp
+++ b/Source/Core/Requests/Outcome.cpp
@@ -44,6 +44,7 @@
         named_value<refusal_reason> { refusal_reason::HolderLost, "holder_lost" },
         named_value<refusal_reason> { refusal_reason::WorkerFailed, "worker_failed" },
         named_value<refusal_reason> { refusal_reason::WorkerLost, "worker_lost" },
+        named_value<refusal_reason> { refusal_reason::StillWaiting, "still_waiting" },
         named_value<refusal_reason> { refusal_reason::NotFound, "not_found" },
     };
 
--- a/Source/Core/Requests/Outcome.h
+++ b/Source/Core/Requests/Outcome.h
@@ -38,6 +38,8 @@
     HolderLost,
     WorkerFailed,
     WorkerLost,
+    /// Between daemons only: the request is held, and asked for again.
+    StillWaiting,
     NotFound
 };
 
--- a/Source/UnitTests/Sessions/Deployment.cpp
+++ b/Source/UnitTests/Sessions/Deployment.cpp
@@ -22,21 +22,38 @@
     constexpr const char* loopback = "127.0.0.1";
     constexpr Common::millis pollEvery { 20 };
     constexpr time_t callSeconds = 60;
+    /// A balancer gives up on a daemon that doesn't answer for so long.
+    constexpr time_t probeSeconds = 2;
     constexpr int dataCentres = 3;
     constexpr int rackSize = 4;
     constexpr int httpOk = 200;
 
-    std::uint16_t freePort()
+    /// Ports for daemons, which bind them after a moment. They lie below those that the system gives to
+    /// outgoing connections, or one of these could take the port meanwhile.
+    constexpr int firstPort = 11'000;
+    constexpr int portRange = 20'000;
+    constexpr int portsPerProcess = 97;
+
+    bool canBind(int port)
     {
         const int descriptor = socket(AF_INET, SOCK_STREAM, 0);
         sockaddr_in address {};
         address.sin_family = AF_INET;
         address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
-        bind(descriptor, reinterpret_cast<const sockaddr*>(&address), sizeof address);
-        socklen_t size = sizeof address;
-        getsockname(descriptor, reinterpret_cast<sockaddr*>(&address), &size);
+        address.sin_port = htons(static_cast<std::uint16_t>(port));
+        const bool isFree = bind(descriptor, reinterpret_cast<const sockaddr*>(&address), sizeof address) == 0;
         close(descriptor);
-        return ntohs(address.sin_port);
+        return isFree;
+    }
+
+    std::uint16_t freePort()
+    {
+        static int next = getpid() * portsPerProcess;
+        while (true) {
+            const int port = firstPort + next++ % portRange;
+            if (canBind(port))
+                return static_cast<std::uint16_t>(port);
+        }
     }
 
     std::string dataCentreOf(int worker)
@@ -54,6 +71,7 @@
     call_result post(std::uint16_t port, const std::string& path, const std::string& body, const std::string& key)
     {
         httplib::Client client(loopback, port);
+        client.set_connection_timeout(probeSeconds);
         client.set_read_timeout(callSeconds);
         const auto response = client.Post(path.c_str(), { { "X-Loft-Key", key } }, body, "application/json");
         if (!response)
@@ -64,7 +82,8 @@
     call_result get(std::uint16_t port, const std::string& path, const std::string& key)
     {
         httplib::Client client(loopback, port);
-        client.set_read_timeout(callSeconds);
+        client.set_connection_timeout(probeSeconds);
+        client.set_read_timeout(probeSeconds);
         const auto response = client.Get(path.c_str(), { { "X-Loft-Key", key } });
         if (!response)
             return {};
@@ -124,6 +143,9 @@
 deployment::~deployment()
 {
     m_daemons.clear();
+    // The daemons' own logs are kept for a look when asked for.
+    if (std::getenv("LOFT_KEEP_LOGS"))
+        return;
     std::filesystem::remove_all(m_directory);
 }
 
--- a/Source/UnitTests/Sessions/FailureTest.cpp
+++ b/Source/UnitTests/Sessions/FailureTest.cpp
@@ -87,6 +87,24 @@
     CHECK(target.audit().mostRunning("day") <= 16);
 }
 
+TEST_CASE("The holder of a pool stops as planned while tasks that run once take longer than the handover", "[failure]")
+{
+    Sessions::deployment target({ .daemons = 3, .workers = 6, .extraSettings = "[timing]\nbalancer_grace_ms = 300\n" });
+    target.startAll();
+    target.setUpShifts("day", 24);
+    const int holder = target.holderOf("shifts");
+    Sessions::caller_crowd crowd(target,
+        { .callers = 12, .runMillis = 2500, .idempotent = false, .daemons = { (holder + 1) % 3, (holder + 2) % 3 } });
+    waitUntil("tasks run", [&] { return target.audit().runningNow("day") == 12; });
+    target.daemon(holder).signal(SIGTERM);
+    CHECK(target.daemon(holder).wait() == 0);
+    waitForSome(crowd, 24);
+    crowd.stop();
+    checkRecords(target, crowd);
+    CHECK(crowd.count("done") == crowd.finished());
+    CHECK(target.audit().startedTwice().empty());
+}
+
 TEST_CASE("All daemons are replaced at once", "[failure]")
 {
     Sessions::deployment target({ .daemons = 3, .workers = 6 });
