--- a/Source/Core/Fleet/FleetState.cpp
+++ b/Source/Core/Fleet/FleetState.cpp
@@ -92,6 +92,13 @@
     return { std::string(poolPrefix) + pool.value };
 }
 
+std::optional<Common::pool_id> poolOfShard(const Common::shard_id& shard)
+{
+    if (!shard.value.starts_with(poolPrefix))
+        return std::nullopt;
+    return Common::pool_id { shard.value.substr(poolPrefix.size()) };
+}
+
 Common::shard_id ledgerShard(const Common::team_id& team)
 {
     return ledgerPart(Common::rendezvousRank(ledgerPrefix, team.value) % ledgerParts);
--- a/Source/Core/Fleet/FleetState.h
+++ b/Source/Core/Fleet/FleetState.h
@@ -166,6 +166,8 @@
 bool isOpenForWork(const fleet_state&, const instance_record&);
 
 Common::shard_id poolShard(const Common::pool_id&);
+/// Pool that the shard stands for. Empty for a part of the team ledgers.
+std::optional<Common::pool_id> poolOfShard(const Common::shard_id&);
 /// Part of the team ledgers that keeps the team's running permits.
 Common::shard_id ledgerShard(const Common::team_id&);
 /// All shards that should have a holder: one a pool, and the parts of the team ledgers.
--- a/Source/Core/Node/ControlLoop.cpp
+++ b/Source/Core/Node/ControlLoop.cpp
@@ -13,13 +13,14 @@
 
     constexpr Common::millis tickLength { 50 };
     constexpr Common::millis promiseEvery { 500 };
-    constexpr Common::millis probeEvery { 500 };
+    constexpr Common::millis probeEvery { 1000 };
     constexpr Common::millis probeTimeout { 300 };
     constexpr Common::millis coolEvery { 500 };
     constexpr Common::millis joinEvery { 300 };
     constexpr Common::millis expireEvery { 400 };
     constexpr Common::millis claimEvery { 500 };
-    constexpr Common::millis instancesEvery { 1000 };
+    /// The list lags anyway, and with it goes the largest part of an idle daemon's traffic.
+    constexpr Common::millis instancesEvery { 5000 };
 
 }
 
@@ -313,12 +314,11 @@
 
 void control_loop::release(const Common::shard_id& shard, Common::instant now)
 {
-    constexpr std::string_view poolPrefix = "pool:";
     const auto epoch = m_parts.hub.state().shards.at(shard).epoch;
-    const bool isPool = shard.value.starts_with(poolPrefix);
-    if (isPool && !m_parts.pools.closeDesk({ shard.value.substr(poolPrefix.size()) }, now))
+    const auto pool = Fleet::poolOfShard(shard);
+    if (pool && !m_parts.pools.closeDesk(*pool, now))
         return;
-    if (!isPool)
+    if (!pool)
         m_parts.permits.closeLedger(shard, epoch);
     m_parts.hub.submitOwn(Fleet::release_shard { .shard = shard, .process = m_parts.hub.self(), .epoch = epoch });
 }
--- a/Source/Core/Node/LogLoops.cpp
+++ b/Source/Core/Node/LogLoops.cpp
@@ -14,7 +14,7 @@
     constexpr Common::millis readWait { 700 };
     constexpr Common::millis pauseAfterFailure { 100 };
     /// Least time between appends, which keeps a deployment within the log's append rate.
-    constexpr Common::millis appendGap { 20 };
+    constexpr Common::millis appendGap { 15 };
     constexpr Common::millis commandWait { 200 };
     constexpr std::size_t snapshotChunkBytes = 128 * 1024;
 
@@ -74,24 +74,31 @@
 
 void log_loops::appendAll()
 {
+    auto lastAppend = std::chrono::steady_clock::now();
     while (!m_stopping) {
+        waitForCommands();
+        // An idle log is written to at once, a busy one in groups.
+        std::this_thread::sleep_until(lastAppend + appendGap);
         std::vector<Fleet::command> commands;
         {
-            auto lock = m_hub.hold();
+            const auto lock = m_hub.hold();
             commands = m_hub.commit().take();
-            if (commands.empty()) {
-                m_hub.waitForCommands(lock, commandWait);
-                commands = m_hub.commit().take();
-            }
         }
-        if (!commands.empty())
-            appendOnce(commands);
+        lastAppend = std::chrono::steady_clock::now();
+        if (!commands.empty() && !appendOnce(commands))
+            std::this_thread::sleep_for(pauseAfterFailure);
         writeSnapshotIfDue();
-        std::this_thread::sleep_for(appendGap);
     }
 }
 
-void log_loops::appendOnce(const std::vector<Fleet::command>& commands)
+void log_loops::waitForCommands()
+{
+    auto lock = m_hub.hold();
+    if (!m_hub.commit().isReady())
+        m_hub.waitForCommands(lock, commandWait);
+}
+
+bool log_loops::appendOnce(const std::vector<Fleet::command>& commands)
 {
     Common::process_id self;
     {
@@ -109,12 +116,13 @@
         m_hub.keeper().onLogAnswered(now);
         if (renews(commands, self) && self == m_hub.self())
             m_hub.keeper().onRenewalTaken(*offset, began);
-        return;
+        return true;
     }
     if (m_appender->lastReason() == PlatformLog::log_failure::MaybeTaken)
         m_hub.commit().onMaybeTaken(now);
     else
         m_hub.commit().onNotTaken();
+    return false;
 }
 
 bool log_loops::renews(const std::vector<Fleet::command>& commands, const Common::process_id& self)
--- a/Source/Core/Node/LogLoops.h
+++ b/Source/Core/Node/LogLoops.h
@@ -25,7 +25,9 @@
 private:
     void readAll();
     void appendAll();
-    void appendOnce(const std::vector<Fleet::command>&);
+    void waitForCommands();
+    /// False when the log didn't take the record, or didn't answer.
+    bool appendOnce(const std::vector<Fleet::command>&);
     void writeSnapshotIfDue();
     bool isSnapshotDue() const;
     static bool renews(const std::vector<Fleet::command>&, const Common::process_id&);
--- a/Source/Core/Node/OperatorApi.cpp
+++ b/Source/Core/Node/OperatorApi.cpp
@@ -178,15 +178,14 @@
     json describePools(const Fleet::fleet_state& state)
     {
         json pools = json::array();
-        constexpr std::string_view prefix = "pool:";
         for (const auto& shard : Fleet::neededShards(state)) {
-            if (!shard.value.starts_with(prefix))
+            const auto pool = Fleet::poolOfShard(shard);
+            if (!pool)
                 continue;
-            const Common::pool_id pool { shard.value.substr(prefix.size()) };
-            const auto availability = Fleet::availabilityOf(state, pool, {});
+            const auto availability = Fleet::availabilityOf(state, *pool, {});
             const auto holding = Fleet::holderOf(state, shard);
-            pools.push_back({ { "pool", pool }, { "instances", availability.total }, { "available", availability.available },
-                { "inMaintenance", availability.inMaintenance },
+            pools.push_back({ { "pool", *pool }, { "instances", availability.total },
+                { "available", availability.available }, { "inMaintenance", availability.inMaintenance },
                 { "holder", holding ? holding->holder.value : std::string() } });
         }
         return pools;
--- a/Source/Core/Node/PermitOffice.cpp
+++ b/Source/Core/Node/PermitOffice.cpp
@@ -4,15 +4,6 @@
 
 namespace Node {
 
-namespace {
-
-    bool isLedger(const Common::shard_id& shard)
-    {
-        return shard.value.starts_with("ledger:");
-    }
-
-}
-
 /// Permits of the daemon's wallet as one desk sees them.
 class permit_office::desk_source final : public Pool::permit_source {
 public:
@@ -111,7 +102,7 @@
         return !epoch || *epoch != entry.second.epoch();
     });
     for (const auto& [shard, holding] : m_hub.state().shards) {
-        if (!isLedger(shard) || holding.holder != m_hub.self() || m_ledgers.contains(shard))
+        if (Fleet::poolOfShard(shard) || holding.holder != m_hub.self() || m_ledgers.contains(shard))
             continue;
         const auto closed = m_closed.find(shard);
         if (closed != m_closed.end() && closed->second == holding.epoch)
@@ -136,7 +127,7 @@
         return;
     std::map<Common::process_id, permit_exchange> outgoing;
     for (const auto& [shard, holding] : m_hub.state().shards) {
-        if (!isLedger(shard) || m_exchanging.contains(holding.holder))
+        if (Fleet::poolOfShard(shard) || m_exchanging.contains(holding.holder))
             continue;
         if (m_wallet->wantsExchange(shard, holding.epoch))
             outgoing[holding.holder].reports.push_back(m_wallet->makeReport(shard, holding.epoch));
--- a/Source/Core/Node/PoolOffice.cpp
+++ b/Source/Core/Node/PoolOffice.cpp
@@ -194,30 +194,31 @@
 
 void pool_office::openDesks(Common::instant now)
 {
-    constexpr std::string_view prefix = "pool:";
     for (const auto& [shard, holding] : m_parts.hub.state().shards) {
-        if (!shard.value.starts_with(prefix) || holding.holder != m_parts.hub.self())
-            continue;
-        const Common::pool_id pool { shard.value.substr(prefix.size()) };
-        const auto known = std::ranges::find_if(m_desks, [&](const held_desk& held) {
-            return held.pool == pool && held.desk->epoch() == holding.epoch;
-        });
-        if (known != m_desks.end())
-            continue;
-        auto permits = m_parts.permits.makeSource();
-        const std::string prefixOfTasks = m_parts.hub.self().value + "." + std::to_string(holding.epoch.value);
-        const Pool::pool_desk::options options { .pool = pool,
-            .epoch = holding.epoch,
-            .taskPrefix = prefixOfTasks,
-            .maxWaitingPerTeam = m_parts.hub.settings().maxWaitingPerTeam };
-        auto desk = std::make_unique<Pool::pool_desk>(options, *permits);
-        m_desks.push_back({ .pool = pool, .permits = std::move(permits), .desk = std::move(desk) });
-        updateWorkers();
-        takeOverWork(m_desks.back(), now);
-        Common::writeLog(Common::log_level::Info, Common::log_category::Pool, "holds pool " + pool.value);
+        const auto pool = Fleet::poolOfShard(shard);
+        if (pool && holding.holder == m_parts.hub.self())
+            openDeskUnlessKnown(*pool, holding.epoch, now);
     }
 }
 
+void pool_office::openDeskUnlessKnown(const Common::pool_id& pool, Common::shard_epoch epoch, Common::instant now)
+{
+    const bool isKnown = std::ranges::any_of(
+        m_desks, [&](const held_desk& held) { return held.pool == pool && held.desk->epoch() == epoch; });
+    if (isKnown)
+        return;
+    auto permits = m_parts.permits.makeSource();
+    const Pool::pool_desk::options options { .pool = pool,
+        .epoch = epoch,
+        .taskPrefix = m_parts.hub.self().value + "." + std::to_string(epoch.value),
+        .maxWaitingPerTeam = m_parts.hub.settings().maxWaitingPerTeam };
+    auto desk = std::make_unique<Pool::pool_desk>(options, *permits);
+    m_desks.push_back({ .pool = pool, .permits = std::move(permits), .desk = std::move(desk) });
+    updateWorkers();
+    takeOverWork(m_desks.back(), now);
+    Common::writeLog(Common::log_level::Info, Common::log_category::Pool, "holds pool " + pool.value);
+}
+
 void pool_office::takeOverWork(held_desk& held, Common::instant now)
 {
     for (const auto& [identity, work] : m_parts.hub.state().works) {
--- a/Source/Core/Node/PoolOffice.h
+++ b/Source/Core/Node/PoolOffice.h
@@ -100,6 +100,7 @@
     std::optional<Common::pool_id> poolOfQueue(const Common::queue_id&) const;
 
     void openDesks(Common::instant now);
+    void openDeskUnlessKnown(const Common::pool_id&, Common::shard_epoch, Common::instant now);
     void dropForeignDesks(Common::instant now);
     void takeOverWork(held_desk&, Common::instant now);
     /// Adopts started work whose earlier holder is gone. One that only released the pool sees to its own.
--- a/Source/Core/PlatformLog/GroupCommit.h
+++ b/Source/Core/PlatformLog/GroupCommit.h
@@ -24,6 +24,9 @@
     /// Commands for the next append. Empty while one is under way or unresolved.
     std::vector<Fleet::command> take();
 
+    /// Whether `take` would return anything.
+    bool isReady() const { return !m_appending && !m_unresolvedSince && waiting() > 0; }
+
     void onTaken();
     /// The service didn't take the record; it is offered again.
     void onNotTaken();
--- a/Source/Core/PlatformLog/HttpLogService.cpp
+++ b/Source/Core/PlatformLog/HttpLogService.cpp
@@ -15,7 +15,11 @@
     struct append_answer {
         Common::log_offset offset;
     };
-    NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(append_answer, offset)
+
+    void from_json(const Common::json& in, append_answer& answer)
+    {
+        in.at("offset").get_to(answer.offset);
+    }
 
     struct read_answer {
         Common::log_offset first;
@@ -23,7 +27,14 @@
         Common::log_offset end;
         std::vector<std::string> records;
     };
-    NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(read_answer, first, from, end, records)
+
+    void from_json(const Common::json& in, read_answer& answer)
+    {
+        in.at("first").get_to(answer.first);
+        in.at("from").get_to(answer.from);
+        in.at("end").get_to(answer.end);
+        in.at("records").get_to(answer.records);
+    }
 
     log_failure failureOf(int status)
     {
--- a/Source/Core/Targets/HttpInstanceList.cpp
+++ b/Source/Core/Targets/HttpInstanceList.cpp
@@ -22,8 +22,19 @@
         Common::slot_count slots;
         bool leaving { false };
     };
-    NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(
-        list_entry, id, address, dataCentre, rack, cores, memoryMb, accelerators, slots, leaving)
+
+    void from_json(const Common::json& in, list_entry& entry)
+    {
+        in.at("id").get_to(entry.id);
+        in.at("address").get_to(entry.address);
+        in.at("dataCentre").get_to(entry.dataCentre);
+        in.at("rack").get_to(entry.rack);
+        in.at("cores").get_to(entry.cores);
+        in.at("memoryMb").get_to(entry.memoryMb);
+        in.at("accelerators").get_to(entry.accelerators);
+        in.at("slots").get_to(entry.slots);
+        in.at("leaving").get_to(entry.leaving);
+    }
 
 }
 
--- a/Source/Standins/StandinServer.cpp
+++ b/Source/Standins/StandinServer.cpp
@@ -16,7 +16,12 @@
         std::string name;
         std::int64_t value { 0 };
     };
-    NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(fault_setting, name, value)
+
+    void from_json(const Common::json& in, fault_setting& setting)
+    {
+        in.at("name").get_to(setting.name);
+        in.at("value").get_to(setting.value);
+    }
 
 }
 
