--- a/Source/Core/Node/ControlLoop.cpp
+++ b/Source/Core/Node/ControlLoop.cpp
@@ -173,6 +173,8 @@
         const std::lock_guard guard(resultLock);
         // Another life answers at the address, so the member itself is dead.
         const bool isReplaced = reply && reply->process != info.process;
+        if (reply && !isReplaced)
+            m_refusedSince.erase(info.process);
         if (reply && !isReplaced && reply->given)
             result.given.push_back(info.process);
         if (isReplaced)
--- a/Source/Core/Node/PoolOffice.cpp
+++ b/Source/Core/Node/PoolOffice.cpp
@@ -14,9 +14,6 @@
     using Requests::outcome;
     using Requests::refusal_reason;
 
-    /// Time after which a step of a move is asked for again if nothing came of it.
-    constexpr Common::millis moveRetry { 5000 };
-
     outcome outcomeOfRefusedIntent(const Fleet::fleet_state& state, const Requests::work_identity& identity,
         Fleet::rejection reason)
     {
@@ -32,6 +29,7 @@
 
 pool_office::pool_office(parts chosen)
     : m_parts(chosen)
+    , m_moves(chosen.hub)
 {
     m_parts.permits.onRaised([this] { pump(Common::boot_clock::now()); });
 }
@@ -562,40 +560,16 @@
 {
     pump(now);
     adoptOrphans(now);
-    moveInstances(now);
+    const auto openDeskOf = [this](const Common::pool_id& pool) -> const Pool::pool_desk* {
+        const held_desk* const held = openDesk(pool);
+        return held ? held->desk.get() : nullptr;
+    };
+    m_moves.advance(openDeskOf, now);
     endIdleSessions();
     dropForeignDesks(now);
     std::erase_if(m_voided, [now](const auto& entry) { return entry.second < now; });
 }
 
-void pool_office::moveInstances(Common::instant now)
-{
-    if (!m_parts.hub.mayAct(now))
-        return;
-    for (const auto& [name, instance] : m_parts.hub.state().instances) {
-        if (instance.phase == Fleet::move_phase::Leaving) {
-            held_desk* const held = openDesk(instance.pool);
-            if (held && held->desk->workers().isEmpty(name) && askMove(name, instance.phase, now))
-                m_parts.hub.submitOwn(Fleet::release_instance { .instance = name, .epoch = held->desk->epoch() });
-        }
-        if (instance.phase == Fleet::move_phase::Released) {
-            held_desk* const held = openDesk(instance.target);
-            if (held && askMove(name, instance.phase, now))
-                m_parts.hub.submitOwn(Fleet::join_pool { .instance = name, .epoch = held->desk->epoch() });
-        }
-    }
-}
-
-bool pool_office::askMove(const Common::instance_id& instance, Fleet::move_phase phase, Common::instant now)
-{
-    const auto asked = m_askedMoves.find(instance);
-    const bool isRecent = asked != m_askedMoves.end() && asked->second.phase == phase && now < asked->second.at + moveRetry;
-    if (isRecent)
-        return false;
-    m_askedMoves[instance] = { .phase = phase, .at = now };
-    return true;
-}
-
 bool pool_office::closeDesk(const Common::pool_id& pool, Common::instant now)
 {
     for (held_desk& held : m_desks) {
--- a/Source/Core/Node/PoolOffice.h
+++ b/Source/Core/Node/PoolOffice.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "Node/FleetHub.h"
+#include "Node/InstanceMoves.h"
 #include "Node/Metrics.h"
 #include "Node/PeerMessages.h"
 #include "Node/PermitOffice.h"
@@ -79,10 +80,6 @@
         std::unique_ptr<Pool::pool_desk> desk;
         bool closing { false };
     };
-    struct asked_move {
-        Fleet::move_phase phase;
-        Common::instant at;
-    };
 
     bool mayStart(const Pool::start_order&, Common::instant now) override;
     bool owns(const Common::task_id&) const override;
@@ -112,7 +109,6 @@
     void checkIntents(Common::instant now);
     void updateWorkers();
     void updateShares();
-    void moveInstances(Common::instant now);
     void pumpDesks(Common::instant now);
     void carryOut(Pool::desk_orders);
     void startOrRefuse(const Pool::start_order&);
@@ -121,9 +117,9 @@
     void endIdleSessions();
     worker_session* sessionOf(const Common::instance_id&);
     std::optional<Requests::refusal_reason> checkKey(const forwarded_request&) const;
-    bool askMove(const Common::instance_id&, Fleet::move_phase, Common::instant now);
 
     parts m_parts;
+    instance_moves m_moves;
     std::vector<held_desk> m_desks;
     std::map<Common::instance_id, Targets::listed_instance> m_listed;
     std::map<Common::instance_id, std::unique_ptr<worker_session>> m_sessions;
@@ -137,7 +133,6 @@
     std::map<Requests::work_identity, std::vector<Pool::waiter_ticket>> m_resolving;
     /// Forwardings that were declared void, and until when that is remembered.
     std::map<std::string, Common::instant> m_voided;
-    std::map<Common::instance_id, asked_move> m_askedMoves;
     bool m_isPumping { false };
 };
 
--- a/Source/UnitTests/Core/Fleet/ReplicaTest.cpp
+++ b/Source/UnitTests/Core/Fleet/ReplicaTest.cpp
@@ -8,8 +8,7 @@
 
 std::string recordOf(Fleet::command_body body, const std::string& id)
 {
-    const Fleet::command sent { .id = { id }, .author = "ann", .role = Fleet::operator_role::OperationsLead, .why = "w",
-        .body = std::move(body) };
+    const Fleet::command sent { .id = { id }, .author = "ann", .role = Fleet::operator_role::OperationsLead, .why = "w", .body = std::move(body) };
     return Fleet::encodeRecord(Fleet::envelope { .at = { 1 }, .by = { "p" }, .commands = { sent } });
 }
 
