Input that the TOML library doesn't define is kept from it; log outages pile up nothing

Cause: under UBSan the fuzz tests of settings and templates ran into unreachable code and failed assertions of the TOML library: a letter such as U+00A1 outside of strings, a control character, a table header that doesn't begin with a key. In release builds that is undefined behaviour on an operator's file. Ruled out: leaving it to the library's exceptions; it throws none there. The third kind was found by trying every byte at every place of a small file. Without the log, claims, releases and moves are no longer queued for it.

--- a/Source/Client/TemplateFile.cpp
+++ b/Source/Client/TemplateFile.cpp
@@ -1,5 +1,7 @@
 #include "Client/TemplateFile.h"
 
+#include "Common/TomlGuard.h"
+
 #include <algorithm>
 #include <array>
 #include <span>
@@ -110,6 +112,10 @@
     std::string_view text, std::vector<template_fault>& lastReasons)
 {
     lastReasons.clear();
+    if (const auto line = Common::firstUnsafeTomlLine(text)) {
+        lastReasons.push_back({ .kind = template_fault_kind::Syntax, .key = "plain ASCII, and a key in each table header", .line = *line });
+        return std::nullopt;
+    }
     std::optional<Fleet::publish_template> result;
     try {
         result = readRoot(toml::parse(text), lastReasons);
--- a/Source/Core/Node/ControlLoop.cpp
+++ b/Source/Core/Node/ControlLoop.cpp
@@ -290,7 +290,8 @@
 void control_loop::claimAndRelease(Common::instant now)
 {
     const auto lock = m_parts.hub.hold();
-    if (!m_parts.hub.mayAct(now))
+    // Without the log, commands would only pile up.
+    if (!m_parts.hub.mayAct(now) || m_parts.hub.keeper().lacksLog(now))
         return;
     const auto& state = m_parts.hub.state();
     if (m_isRetiring && !m_retireAsked) {
--- a/Source/Core/Node/InstanceMoves.cpp
+++ b/Source/Core/Node/InstanceMoves.cpp
@@ -11,7 +11,7 @@
 
 void instance_moves::advance(const desk_finder& openDesk, Common::instant now)
 {
-    if (!m_hub.mayAct(now))
+    if (!m_hub.mayAct(now) || m_hub.keeper().lacksLog(now))
         return;
     for (const auto& [name, instance] : m_hub.state().instances) {
         if (instance.phase == Fleet::move_phase::Leaving) {
--- a/Source/Core/Settings/Settings.cpp
+++ b/Source/Core/Settings/Settings.cpp
@@ -1,5 +1,7 @@
 #include "Settings/Settings.h"
 
+#include "Common/TomlGuard.h"
+
 #include <algorithm>
 #include <array>
 #include <set>
@@ -281,6 +283,11 @@
 std::optional<daemon_settings> parseSettings(std::string_view text, std::vector<settings_fault>& lastReasons)
 {
     lastReasons.clear();
+    if (const auto line = Common::firstUnsafeTomlLine(text)) {
+        lastReasons.push_back(
+            { .kind = fault_kind::Syntax, .key = {}, .line = *line, .expected = "plain ASCII outside of comment lines, and a key in each table header" });
+        return std::nullopt;
+    }
     daemon_settings result;
     try {
         const toml::table table = toml::parse(text);
--- a/Source/UnitTests/Client/TemplateFileTest.cpp
+++ b/Source/UnitTests/Client/TemplateFileTest.cpp
@@ -37,6 +37,12 @@
         CHECK(unknown->key == "expectd");
         CHECK(unknown->line == 2);
     }
+    SECTION("letters beyond ASCII are a fault with its line")
+    {
+        CHECK_FALSE(Client::parseTemplate("account = \"a\"\n\xC2\xA1 = 1\n", faults));
+        REQUIRE(faults.size() == 1);
+        CHECK(faults[0].line == 2);
+    }
     SECTION("no text makes the reader crash or accept without reason")
     {
         CHECK(rc::check("template fuzz", [](const std::string& text) {
--- a/Source/UnitTests/Core/Settings/SettingsTest.cpp
+++ b/Source/UnitTests/Core/Settings/SettingsTest.cpp
@@ -77,6 +77,18 @@
         CHECK(has(faults, fault_kind::OutOfRange, "operator.role"));
         CHECK(has(faults, fault_kind::Malformed, "operator.key_hash"));
     }
+    SECTION("letters beyond ASCII are welcome in comments, and a fault with its line elsewhere")
+    {
+        CHECK(Settings::parseSettings("# pre\xC3\xA7o\n" + whole, faults));
+        CHECK_FALSE(Settings::parseSettings(whole + "\xC2\xA1 = 1\n", faults));
+        REQUIRE(faults.size() == 1);
+        CHECK(faults[0].kind == fault_kind::Syntax);
+        CHECK(faults[0].line == 12);
+        CHECK_FALSE(Settings::parseSettings(std::string(1, '\0') + whole, faults));
+        CHECK(faults.at(0).line == 1);
+        CHECK_FALSE(Settings::parseSettings(whole + "[!x]\n", faults));
+        CHECK(faults.at(0).line == 12);
+    }
     SECTION("no text makes the reader crash")
     {
         CHECK(rc::check("settings fuzz", [](const std::string& text) {
--- a/Source/UnitTests/Sessions/OutageTest.cpp
+++ b/Source/UnitTests/Sessions/OutageTest.cpp
@@ -53,6 +53,25 @@
         });
         CHECK(target.audit().starts("kit-1") == 1);
     }
+    SECTION("the pools of a holder that is lost meanwhile stand still, and are served once the log is back")
+    {
+        crowd.stop();
+        const int holder = target.holderOf("shifts");
+        const int other = (holder + 1) % 3;
+        target.daemon(holder).signal(SIGKILL);
+        target.daemon(holder).wait();
+        passTime(std::chrono::seconds(3));
+        const auto refused
+            = target.callers(other, "/v1/requests", submissionOf({ .name = "meanwhile", .deadlineMillis = 500 }));
+        CHECK(refused.field("outcome") == "not_run");
+        CHECK(target.audit().starts("meanwhile") == 0);
+        target.log().faults().set("down", 0);
+        waitUntil("the pool is served again", [&] {
+            const auto answer
+                = target.callers(other, "/v1/requests", submissionOf({ .name = "after", .deadlineMillis = 1000 }));
+            return answer.field("outcome") == "done";
+        });
+    }
     SECTION("a daemon that is left alone refuses, and the rest of the fleet with it")
     {
         const int alone = target.holderOf("shifts");
