Parameters that nobody used are gone, and one twin of a look-up

Cause: read as a newcomer: times that were passed and ignored, and a look-up that stood twice with a const_cast between. Change: close, cancel, closeDesk, release and two private members take no time; deskOfTask stands once. Ruled out: nothing to weigh; behaviour stays.

--- a/Source/Core/Node/ControlLoop.cpp
+++ b/Source/Core/Node/ControlLoop.cpp
@@ -312,14 +312,14 @@
             releases.push_back(Fleet::poolShard(pool));
     }
     for (const auto& shard : releases)
-        release(shard, now);
+        release(shard);
 }
 
-void control_loop::release(const Common::shard_id& shard, Common::instant now)
+void control_loop::release(const Common::shard_id& shard)
 {
     const auto epoch = m_parts.hub.state().shards.at(shard).epoch;
     const auto pool = Fleet::poolOfShard(shard);
-    if (pool && !m_parts.pools.closeDesk(*pool, now))
+    if (pool && !m_parts.pools.closeDesk(*pool))
         return;
     if (!pool)
         m_parts.permits.closeLedger(shard, epoch);
--- a/Source/Core/Node/ControlLoop.h
+++ b/Source/Core/Node/ControlLoop.h
@@ -52,7 +52,7 @@
     void join(Common::instant now);
     void leaveIfDone(Common::instant now);
     void claimAndRelease(Common::instant now);
-    void release(const Common::shard_id&, Common::instant now);
+    void release(const Common::shard_id&);
     void askPromises(Common::instant now);
     void expireLapsed(Common::instant now);
     void probeNeighbour(Common::instant now);
--- a/Source/Core/Node/PermitOffice.cpp
+++ b/Source/Core/Node/PermitOffice.cpp
@@ -60,7 +60,7 @@
 void permit_office::onState(Common::instant now)
 {
     noteRemovedMembers(now);
-    openAndCloseLedgers(now);
+    openAndCloseLedgers();
     std::vector<Common::revision_number> revisions;
     for (const auto& [name, account] : m_hub.state().accounts)
         revisions.push_back(account.revision);
@@ -95,7 +95,7 @@
         m_members.insert(process);
 }
 
-void permit_office::openAndCloseLedgers(Common::instant)
+void permit_office::openAndCloseLedgers()
 {
     std::erase_if(m_ledgers, [this](const auto& entry) {
         const auto epoch = m_hub.heldEpoch(entry.first);
--- a/Source/Core/Node/PermitOffice.h
+++ b/Source/Core/Node/PermitOffice.h
@@ -46,7 +46,7 @@
     class desk_source;
 
     void noteRemovedMembers(Common::instant now);
-    void openAndCloseLedgers(Common::instant now);
+    void openAndCloseLedgers();
     void exchangeWith(const Common::process_id&, permit_exchange);
     void sendTo(const Common::endpoint&, const Common::process_id&, const permit_exchange&);
     Common::millis taskHold() const;
--- a/Source/Core/Node/PoolOffice.cpp
+++ b/Source/Core/Node/PoolOffice.cpp
@@ -50,11 +50,6 @@
     return found == m_desks.end() ? nullptr : &*found;
 }
 
-pool_office::held_desk* pool_office::deskOfTask(const Common::task_id& task)
-{
-    return const_cast<held_desk*>(std::as_const(*this).deskOfTask(task));
-}
-
 pool_office::held_desk* pool_office::deskOfInstance(const Common::instance_id& instance)
 {
     const auto found = m_parts.hub.state().instances.find(instance);
@@ -143,14 +138,14 @@
 {
     const auto pool = poolOfQueue(identity.queue);
     held_desk* const held = pool ? openDesk(*pool) : nullptr;
-    const bool certain = held && held->desk->cancel(identity, now);
+    const bool certain = held && held->desk->cancel(identity);
     pump(now);
     return certain;
 }
 
 void pool_office::onState(Common::instant now)
 {
-    dropForeignDesks(now);
+    dropForeignDesks();
     openDesks(now);
     updateShares();
     updateWorkers();
@@ -181,7 +176,7 @@
     m_sessions.clear();
 }
 
-void pool_office::dropForeignDesks(Common::instant)
+void pool_office::dropForeignDesks()
 {
     std::erase_if(m_desks, [this](const held_desk& held) {
         const auto epoch = m_parts.hub.heldEpoch(Fleet::poolShard(held.pool));
@@ -297,7 +292,7 @@
 void pool_office::onIntendedRecord(
     const Requests::work_identity& identity, const Fleet::work_record& work, Common::instant now)
 {
-    if (held_desk* const held = deskOfTask(work.task)) {
+    if (const held_desk* const held = deskOfTask(work.task)) {
         held->desk->onIntentApplied(identity, now);
         return;
     }
@@ -495,7 +490,7 @@
 
 void pool_office::onStart(const Common::task_id& task, Pool::start_result result, Common::instant now)
 {
-    held_desk* const held = deskOfTask(task);
+    const held_desk* const held = deskOfTask(task);
     if (!held)
         return;
     held->desk->onStart(task, result, now);
@@ -505,7 +500,7 @@
 
 void pool_office::onFinished(const Common::task_id& task, outcome result, Common::instant now)
 {
-    if (held_desk* const held = deskOfTask(task)) {
+    if (const held_desk* const held = deskOfTask(task)) {
         held->desk->onFinished(task, std::move(result), now);
         pump(now);
         return;
@@ -522,7 +517,7 @@
 
 void pool_office::onLost(const Common::task_id& task, Common::instant now)
 {
-    if (held_desk* const held = deskOfTask(task)) {
+    if (const held_desk* const held = deskOfTask(task)) {
         const auto view = held->desk->findTask(task);
         held->desk->onLost(task, now);
         // The result may still come when the worker is reached again.
@@ -566,18 +561,18 @@
     };
     m_moves.advance(openDeskOf, now);
     endIdleSessions();
-    dropForeignDesks(now);
+    dropForeignDesks();
     std::erase_if(m_voided, [now](const auto& entry) { return entry.second < now; });
 }
 
-bool pool_office::closeDesk(const Common::pool_id& pool, Common::instant now)
+bool pool_office::closeDesk(const Common::pool_id& pool)
 {
     for (held_desk& held : m_desks) {
         if (held.pool != pool)
             continue;
         if (!held.closing) {
             held.closing = true;
-            held.desk->close(now);
+            held.desk->close();
             carryOut(held.desk->takeOrders());
         }
         if (!held.desk->hasSettledStarts())
--- a/Source/Core/Node/PoolOffice.h
+++ b/Source/Core/Node/PoolOffice.h
@@ -60,7 +60,7 @@
     std::vector<std::unique_ptr<worker_session>> takeEnded();
 
     /// Closes the desk of a pool; true once nothing of it is on its way to a worker.
-    bool closeDesk(const Common::pool_id&, Common::instant now);
+    bool closeDesk(const Common::pool_id&);
     /// Pools whose desks were closed but whose shards are still held here; they must be released.
     std::vector<Common::pool_id> closingPools() const;
     /// Whether no task runs and no request waits here.
@@ -91,14 +91,13 @@
     void onSilent(const Common::instance_id&, Common::instant now) override;
 
     held_desk* openDesk(const Common::pool_id&);
-    held_desk* deskOfTask(const Common::task_id&);
     const held_desk* deskOfTask(const Common::task_id&) const;
     held_desk* deskOfInstance(const Common::instance_id&);
     std::optional<Common::pool_id> poolOfQueue(const Common::queue_id&) const;
 
     void openDesks(Common::instant now);
     void openDeskUnlessKnown(const Common::pool_id&, Common::shard_epoch, Common::instant now);
-    void dropForeignDesks(Common::instant now);
+    void dropForeignDesks();
     void takeOverWork(held_desk&, Common::instant now);
     /// Adopts started work whose earlier holder is gone. One that only released the pool sees to its own.
     void adoptOrphans(Common::instant now);
--- a/Source/Core/Pool/PoolDesk.cpp
+++ b/Source/Core/Pool/PoolDesk.cpp
@@ -264,7 +264,7 @@
     onFinished(id, Requests::unknownOutcome(refusal_reason::WorkerLost), now);
 }
 
-bool pool_desk::cancel(const Requests::work_identity& identity, Common::instant)
+bool pool_desk::cancel(const Requests::work_identity& identity)
 {
     const auto found = m_tasks.find(identity);
     if (found == m_tasks.end())
@@ -278,7 +278,7 @@
     return false;
 }
 
-void pool_desk::close(Common::instant)
+void pool_desk::close()
 {
     m_closed = true;
     std::vector<Requests::work_identity> waiting;
--- a/Source/Core/Pool/PoolDesk.h
+++ b/Source/Core/Pool/PoolDesk.h
@@ -127,10 +127,10 @@
     void onLost(const Common::task_id&, Common::instant now);
 
     /// Cancels a waiting request; asks the worker to stop a running one. True if it certainly never ran.
-    bool cancel(const Requests::work_identity&, Common::instant now);
+    bool cancel(const Requests::work_identity&);
 
     /// Ends waiting: waiting callers are told to go to the next holder, and nothing more starts.
-    void close(Common::instant now);
+    void close();
     /// Forgets all requests, since this daemon may not act for the pool any more, and returns what is
     /// to be told: "not run" for those that were never sent, "unknown" for the rest.
     std::vector<settlement> abandon();
--- a/Source/UnitTests/Core/Pool/PoolDeskTest.cpp
+++ b/Source/UnitTests/Core/Pool/PoolDeskTest.cpp
@@ -191,14 +191,14 @@
         desk.offer(work, start);
         SECTION("before")
         {
-            CHECK(desk.cancel(work.request.identity, start));
+            CHECK(desk.cancel(work.request.identity));
             CHECK(desk.takeOrders().settlements.at(0).result == Requests::notRun(refusal_reason::Cancelled));
         }
         SECTION("after")
         {
             desk.pump(true, start);
             desk.onStart(desk.takeOrders().starts.at(0).task, Pool::start_result::Accepted, start);
-            CHECK_FALSE(desk.cancel(work.request.identity, start));
+            CHECK_FALSE(desk.cancel(work.request.identity));
             CHECK(desk.takeOrders().stops.size() == 1);
         }
     }
@@ -208,7 +208,7 @@
         desk.pump(true, start);
         const auto task = desk.takeOrders().starts.at(0).task;
         desk.offer(workOf("r2", true, 2), start);
-        desk.close(start);
+        desk.close();
         const auto settled = desk.takeOrders().settlements;
         REQUIRE(settled.size() == 1);
         CHECK(settled[0].result == Requests::notRun(refusal_reason::HolderMoved));
