--- a/Source/UnitTests/Sessions/GoldenTest.cpp
+++ b/Source/UnitTests/Sessions/GoldenTest.cpp
@@ -129,7 +129,7 @@
     session.compare("operator-race");
 }
 
-TEST_CASE("All entry instances are restarted one after the other under load", "[golden]")
+TEST_CASE("All entry instances are restarted one after the other under load", "[restart]")
 {
     Sessions::deployment target({ .daemons = 3, .workers = 6, .extraSettings = "[timing]\nbalancer_grace_ms = 300\n" });
     target.startAll();
