Expired held requests are dropped by a function of that name

Cause: keepHeld called forwarded(), a count, only for its side effect, and took the lock twice. Change: dropExpiredHeld, called by both under the one lock. Behaviour as before. Ruled out: merging offerHere, serveForwarded and serveSettle; they wait for different times and answer differently when these are over.

--- a/Source/Core/Node/RequestService.cpp
+++ b/Source/Core/Node/RequestService.cpp
@@ -247,16 +247,21 @@
 
 void request_service::keepHeld(const std::string& forwardId, held_forward held)
 {
-    forwarded();
     const std::lock_guard lock(m_heldLock);
+    dropExpiredHeld();
     m_held[forwardId] = std::move(held);
 }
 
-std::int64_t request_service::forwarded()
+void request_service::dropExpiredHeld()
 {
-    const std::lock_guard lock(m_heldLock);
     const auto now = Common::boot_clock::now();
     std::erase_if(m_held, [now](const auto& entry) { return entry.second.deadline < now; });
+}
+
+std::int64_t request_service::forwarded()
+{
+    const std::lock_guard lock(m_heldLock);
+    dropExpiredHeld();
     return m_forwarded + static_cast<std::int64_t>(m_held.size());
 }
 
--- a/Source/Core/Node/RequestService.h
+++ b/Source/Core/Node/RequestService.h
@@ -103,6 +103,8 @@
     Requests::outcome offerHere(const forwarded_request&);
     Requests::outcome forwardTo(const Common::endpoint&, const forwarded_request&, peer_failure&);
     Requests::outcome waitShortly(const std::string& forwardId, held_forward);
+    /// With the lock of the held requests taken.
+    void dropExpiredHeld();
     void keepHeld(const std::string& forwardId, held_forward);
     std::optional<held_forward> takeHeld(const std::string& forwardId);
 
