--- a/Source/Core/Common/Ids.h
+++ b/Source/Core/Common/Ids.h
@@ -22,6 +22,10 @@
 using shard_id = text_id<struct shard_tag>;
 /// Identifier of one attempt to run a request on a worker.
 using task_id = text_id<struct task_tag>;
+/// Identifier that the caller gives its job.
+using job_id = text_id<struct job_tag>;
+/// One life of one worker's process.
+using worker_id = text_id<struct worker_tag>;
 /// Hex digest of a key; the key itself is never kept.
 using key_hash = text_id<struct key_hash_tag>;
 
@@ -33,6 +37,8 @@
 using revision_number = quantity<struct revision_tag>;
 /// Number of membership changes applied so far.
 using membership_version = quantity<struct membership_version_tag>;
+/// Thousandths of a processor core.
+using millicores = quantity<struct millicore_tag>;
 /// Processor cores.
 using core_count = quantity<struct core_tag>;
 /// Memory in megabytes.
--- a/Source/Core/Common/Logging.cpp
+++ b/Source/Core/Common/Logging.cpp
@@ -5,7 +5,9 @@
 #include <log4cxx/jsonlayout.h>
 #include <log4cxx/logger.h>
 #include <log4cxx/mdc.h>
+#include <memory>
 #include <string>
+#include <vector>
 
 namespace Common {
 
@@ -48,18 +50,27 @@
         case log_category::Targets:
             return "targets";
         case log_category::Requests:
+            return "requests";
+        case log_category::Jobs:
+            return "jobs";
+        case log_category::Dispatch:
+            return "dispatch";
+        case log_category::Capacity:
+            return "capacity";
+        case log_category::Store:
             break;
         }
-        return "requests";
+        return "store";
     }
 
 }
 
-void startLogging(log_level lowest, std::string_view instance)
+void startLogging(log_level lowest, std::string_view instance, log_output output)
 {
     instanceName() = instance;
     const auto layout = std::make_shared<log4cxx::JSONLayout>();
-    const auto appender = std::make_shared<log4cxx::ConsoleAppender>(layout, LOG4CXX_STR("System.err"));
+    const auto appender = std::make_shared<log4cxx::ConsoleAppender>(
+        layout, output == log_output::StandardOutput ? LOG4CXX_STR("System.out") : LOG4CXX_STR("System.err"));
     log4cxx::BasicConfigurator::configure(appender);
     log4cxx::Logger::getRootLogger()->setLevel(toLevel(lowest));
 }
@@ -71,4 +82,18 @@
     logger->log(toLevel(level), std::string(message));
 }
 
+void writeEvent(
+    log_level level, log_category category, std::string_view event, std::initializer_list<log_field> fields)
+{
+    const auto logger = log4cxx::Logger::getLogger(std::string(toName(category)));
+    if (!logger->isEnabledFor(toLevel(level)))
+        return;
+    std::vector<std::unique_ptr<log4cxx::MDC>> context;
+    context.reserve(fields.size() + 1);
+    context.push_back(std::make_unique<log4cxx::MDC>("instance", instanceName()));
+    for (const auto& field : fields)
+        context.push_back(std::make_unique<log4cxx::MDC>(field.name, field.value));
+    logger->log(toLevel(level), std::string(event));
+}
+
 }
--- a/Source/Core/Common/Logging.h
+++ b/Source/Core/Common/Logging.h
@@ -1,8 +1,10 @@
 #pragma once
 
+#include <initializer_list>
+#include <string>
 #include <string_view>
 
-/// Structured logs: one JSON object a line on standard error.
+/// Structured logs: one JSON object a line.
 namespace Common {
 
 enum class log_level {
@@ -20,13 +22,30 @@
     Limits,
     Pool,
     Targets,
-    Requests
+    Requests,
+    Jobs,
+    Dispatch,
+    Capacity,
+    Store
+};
+
+enum class log_output {
+    StandardOutput,
+    StandardError
+};
+
+struct log_field {
+    const char* name;
+    std::string value;
 };
 
 /// Starts logging for the process; `instance` stands in each line.
-void startLogging(log_level lowest, std::string_view instance);
+void startLogging(log_level lowest, std::string_view instance, log_output = log_output::StandardError);
 
 /// Writes one line. Keys and payloads are never passed here.
 void writeLog(log_level, log_category, std::string_view message);
 
+/// Writes one line about an event, with its fields by name.
+void writeEvent(log_level, log_category, std::string_view event, std::initializer_list<log_field>);
+
 }
--- /dev/null
+++ b/Source/Core/Dispatch/Dispatcher.cpp
@@ -0,0 +1,428 @@
+#include "Dispatch/Dispatcher.h"
+
+#include <algorithm>
+
+namespace Dispatch {
+
+namespace {
+
+    /// Longest wait of a look at a worker on which something runs; a lease outlasts several.
+    constexpr Common::millis holdWait { 1000 };
+    /// A stop without an answer is sent again after this time.
+    constexpr Common::millis stopRepeat { 300 };
+    /// Fillers are slowed when a serving task comes this near to its target, and sped up below the second share.
+    constexpr double slowAtShare = 0.85;
+    constexpr double hastenBelowShare = 0.6;
+    constexpr int paceStep = 10;
+
+
+}
+
+dispatcher::dispatcher(const dispatcher_options& options, Common::instant now, dispatch_observer& observer)
+    : m_options(options)
+    , m_takenOverAt(now)
+    , m_observer(observer)
+{
+}
+
+void dispatcher::setRules(const Rules::fleet_rules& rules) { m_rules = rules; }
+
+void dispatcher::setEvacuated(std::set<Common::data_centre_id> zones) { m_evacuated = std::move(zones); }
+
+void dispatcher::workerListed(const worker_entry& entry, Common::instant now)
+{
+    const auto found = m_workers.find(entry.id);
+    if (found == m_workers.end()) {
+        auto& worker = m_workers.emplace(entry.id, worker_state(entry)).first->second;
+        // An earlier holder may have granted a lease until just now.
+        worker.grant(now, m_options.lease.lease);
+        return;
+    }
+    auto& worker = found->second;
+    worker.isListed = true;
+    if (worker.entry.bornAt < entry.bornAt) {
+        loseAllRuns(worker, now);
+        worker.beginLife(entry);
+        return;
+    }
+    if (worker.entry.bornAt == entry.bornAt)
+        worker.entry = entry;
+}
+
+void dispatcher::workerUnlisted(const Common::worker_id& id)
+{
+    const auto found = m_workers.find(id);
+    if (found != m_workers.end())
+        found->second.isListed = false;
+}
+
+void dispatcher::setCordoned(const Common::worker_id& id, bool isCordoned)
+{
+    const auto found = m_workers.find(id);
+    if (found != m_workers.end())
+        found->second.isCordoned = isCordoned;
+}
+
+void dispatcher::addJob(const Jobs::job_record& record, const Jobs::job_progress& progress, Common::instant now)
+{
+    if (m_jobs.contains(record.id.value) || Jobs::isFinal(progress.state))
+        return;
+    auto job = std::make_unique<open_job>(record, progress, m_options.runBase);
+    const auto* queue = m_rules.findQueue(record.queue);
+    const double stretch = queue ? queue->stretch : 1;
+    const auto latency = queue ? queue->latencyTarget : Common::millis(0);
+    const auto chain = static_cast<double>(longestChain(record.spec).count());
+    job->dueAt.value = record.acceptedAt.value + static_cast<std::int64_t>(stretch * chain) + latency.count();
+    if (now > m_takenOverAt + m_options.overlap)
+        m_freshJobs.insert(record.id.value);
+    m_jobs.emplace(record.id.value, std::move(job));
+}
+
+void dispatcher::cancelJob(const Common::job_id& id)
+{
+    if (auto* job = findJob(id))
+        conclude(*job, Jobs::job_state::Cancelled);
+}
+
+open_job* dispatcher::findJob(const Common::job_id& id)
+{
+    const auto found = m_jobs.find(id.value);
+    return found == m_jobs.end() ? nullptr : found->second.get();
+}
+
+const Rules::queue_rule* dispatcher::queueOf(const open_job& job) const
+{
+    return m_rules.findQueue(job.record().queue);
+}
+
+bool dispatcher::isPoolOpen(const Common::pool_id& pool, Common::instant now) const
+{
+    return std::all_of(m_workers.begin(), m_workers.end(), [&pool, now](const auto& entry) {
+        const auto& worker = entry.second;
+        return worker.entry.pool != pool || worker.isInventoried || now >= worker.lapseBound;
+    });
+}
+
+std::vector<worker_state*> dispatcher::openWorkers(const Common::pool_id& pool, Common::instant now)
+{
+    std::vector<worker_state*> open;
+    for (auto& [id, worker] : m_workers) {
+        const bool isOpen = worker.entry.pool == pool && worker.isListed && !worker.entry.isDraining
+            && worker.isInventoried && worker.knowsClock() && !worker.isCordoned && now >= worker.distrustedUntil
+            && !m_evacuated.contains(worker.entry.dataCentre);
+        if (isOpen)
+            open.push_back(&worker);
+    }
+    return open;
+}
+
+std::vector<open_job*> dispatcher::jobsInOrder(const Common::pool_id& pool, Common::instant now)
+{
+    const bool isOpen = isPoolOpen(pool, now);
+    std::vector<open_job*> jobs;
+    for (const auto& [id, job] : m_jobs) {
+        const auto* queue = queueOf(*job);
+        if (!queue || queue->pool != pool || Jobs::isFinal(job->state))
+            continue;
+        if (isOpen || m_freshJobs.contains(id))
+            jobs.push_back(job.get());
+    }
+    const auto key = [this](const open_job* job) {
+        return std::make_tuple(queueOf(*job)->priority, !job->hasLastingTasks(), job->dueAt, job->record().id);
+    };
+    std::sort(jobs.begin(), jobs.end(),
+        [&key](const open_job* left, const open_job* right) { return key(left) < key(right); });
+    return jobs;
+}
+
+dispatch_orders dispatcher::plan(Common::instant now, Common::wall_millis wall, bool mayStart)
+{
+    dispatch_orders orders;
+    if (m_isFenced)
+        return orders;
+    expire(now);
+    for (const auto& [id, job] : m_jobs)
+        job->openDue(wall);
+    planStops(now, orders);
+    for (const auto& pool : m_rules.pools) {
+        if (mayStart)
+            planStarts(pool.id, now, orders);
+    }
+    planHolds(now, orders);
+    planPaces(orders);
+    return orders;
+}
+
+void dispatcher::expire(Common::instant now)
+{
+    for (auto entry = m_workers.begin(); entry != m_workers.end();) {
+        auto& worker = entry->second;
+        const bool hasLapsed = now >= worker.lapseBound && !worker.isHoldOpen;
+        if (hasLapsed && !worker.runs.empty()) {
+            observe({ .kind = dispatch_event_kind::WorkerLapsed, .worker = worker.entry.id });
+            loseAllRuns(worker, now);
+        }
+        if (hasLapsed && !worker.isListed) {
+            m_uncovered.erase(entry->first);
+            m_toldEnd.erase(entry->first);
+            entry = m_workers.erase(entry);
+        } else {
+            ++entry;
+        }
+    }
+}
+
+void dispatcher::planStarts(const Common::pool_id& pool, Common::instant now, dispatch_orders& orders)
+{
+    const auto workers = openWorkers(pool, now);
+    if (workers.empty())
+        return;
+    for (auto* job : jobsInOrder(pool, now)) {
+        for (auto& [number, occurrence] : job->occurrences()) {
+            for (int step = 0; step < static_cast<int>(occurrence.steps.size()); ++step) {
+                const auto& state = occurrence.steps[static_cast<std::size_t>(step)];
+                const auto open = static_cast<int>(state.tasks.size()) - state.done - state.placed;
+                if (open <= 0 || !job->isReady(occurrence, step))
+                    continue;
+                if (job->record().spec.steps[static_cast<std::size_t>(step)].isGang)
+                    planGang(*job, number, step, workers, now, orders);
+                else
+                    planStep(*job, number, step, workers, now, orders);
+            }
+        }
+    }
+}
+
+placement_request dispatcher::requestFor(
+    open_job& job, int occurrence, int step, std::map<Common::worker_id, int>& counts)
+{
+    const auto& spec = job.record().spec.steps[static_cast<std::size_t>(step)];
+    placement_request request { .step = &spec, .onWorker = &counts };
+    for (const auto& task : job.occurrences()[occurrence].steps[static_cast<std::size_t>(step)].tasks) {
+        if (task.phase != task_phase::Placed)
+            continue;
+        ++counts[task.worker];
+        const auto worker = m_workers.find(task.worker);
+        if (spec.isRackSensitive && worker != m_workers.end())
+            request.rack = worker->second.entry.rack;
+    }
+    return request;
+}
+
+void dispatcher::planStep(open_job& job, int occurrence, int step, const std::vector<worker_state*>& workers,
+    Common::instant now, dispatch_orders& orders)
+{
+    std::map<Common::worker_id, int> counts;
+    auto request = requestFor(job, occurrence, step, counts);
+    auto& tasks = job.occurrences()[occurrence].steps[static_cast<std::size_t>(step)].tasks;
+    for (std::size_t index = 0; index < tasks.size(); ++index) {
+        auto& task = tasks[index];
+        if (task.phase != task_phase::Waiting || now < task.notBefore)
+            continue;
+        if (!m_usage.allows(m_rules, job.record().team, request.step->request))
+            return;
+        request.avoided = task.failedOn;
+        auto* worker = chooseWorker(workers, request);
+        if (!worker)
+            return;
+        ++counts[worker->entry.id];
+        if (request.step->isRackSensitive && request.rack.empty())
+            request.rack = worker->entry.rack;
+        const run_number run { task.lastRun.value + 1 };
+        start(job, taskAt(job.record(), occurrence, step, index), *worker, run, now, orders);
+    }
+}
+
+void dispatcher::planGang(open_job& job, int occurrence, int step, const std::vector<worker_state*>& workers,
+    Common::instant now, dispatch_orders& orders)
+{
+    auto& tasks = job.occurrences()[occurrence].steps[static_cast<std::size_t>(step)].tasks;
+    run_number run;
+    for (const auto& task : tasks) {
+        if (task.phase != task_phase::Waiting || now < task.notBefore)
+            return;
+        run = std::max(run, task.lastRun);
+    }
+    ++run.value;
+    std::map<Common::worker_id, int> counts;
+    auto request = requestFor(job, occurrence, step, counts);
+    const auto whole = Jobs::times(request.step->request, static_cast<std::int64_t>(tasks.size()));
+    if (!m_usage.allows(m_rules, job.record().team, whole))
+        return;
+    // Room is tried out on copies, since a gang starts whole or not at all.
+    std::vector<worker_state> copies;
+    copies.reserve(workers.size());
+    std::vector<worker_state*> trial;
+    for (const auto* worker : workers)
+        trial.push_back(&copies.emplace_back(*worker));
+    std::vector<Common::worker_id> chosen;
+    for (std::size_t index = 0; index < tasks.size(); ++index) {
+        auto* worker = chooseWorker(trial, request);
+        if (!worker)
+            return;
+        worker->addRun(taskAt(job.record(), occurrence, step, index), { .request = request.step->request });
+        ++counts[worker->entry.id];
+        if (request.step->isRackSensitive && request.rack.empty())
+            request.rack = worker->entry.rack;
+        chosen.push_back(worker->entry.id);
+    }
+    for (std::size_t index = 0; index < tasks.size(); ++index)
+        start(job, taskAt(job.record(), occurrence, step, index), m_workers.at(chosen[index]), run, now, orders);
+}
+
+void dispatcher::start(open_job& job, const Jobs::task_name& name, worker_state& worker, run_number run,
+    Common::instant now, dispatch_orders& orders)
+{
+    const auto& spec = job.spec(name);
+    addRun(worker, name,
+        { .run = run,
+            .phase = run_phase::Starting,
+            .request = spec.request,
+            .team = job.record().team,
+            .isLasting = spec.isLasting,
+            .isFiller = spec.isFiller,
+            .startedAt = now,
+            .progressedAt = now });
+    job.place(name, worker.entry.id, run);
+    orders.starts.push_back({ .worker = { worker.entry.id, worker.entry.address },
+        .task = name,
+        .run = run,
+        .payload = job.record().spec.payload,
+        .checkpoint = job.find(name)->checkpoint,
+        .deadline = worker.grant(now, m_options.lease.lease) });
+}
+
+void dispatcher::planStops(Common::instant now, dispatch_orders& orders)
+{
+    for (auto& [id, worker] : m_workers) {
+        for (auto& [name, run] : worker.runs) {
+            if (run.phase != run_phase::Stopping || run.isStopOpen || run.stopTakenAt)
+                continue;
+            if (run.stopSentAt && now < *run.stopSentAt + stopRepeat)
+                continue;
+            run.stopSentAt = now;
+            run.isStopOpen = true;
+            orders.stops.push_back(
+                { .worker = { worker.entry.id, worker.entry.address }, .task = name, .run = run.run });
+        }
+    }
+}
+
+void dispatcher::planHolds(Common::instant now, dispatch_orders& orders)
+{
+    for (auto& [id, worker] : m_workers) {
+        if (worker.isHoldOpen || now < worker.nextHold)
+            continue;
+        const bool hasNews = worker.notedEnd > m_toldEnd[id];
+        if (worker.isInventoried && worker.runs.empty() && !hasNews)
+            continue;
+        hold_order order { .worker = { worker.entry.id, worker.entry.address }, .noted = worker.notedEnd };
+        // A silent worker gets no new time, so that what runs there lapses.
+        const bool isExtended = worker.knowsClock() && worker.holdsWithoutAnswer == 0 && !worker.runs.empty();
+        if (isExtended)
+            order.deadline = worker.grant(now, m_options.lease.lease);
+        const bool isStopping = std::any_of(worker.runs.begin(), worker.runs.end(),
+            [](const auto& entry) { return entry.second.phase != run_phase::Running; });
+        if (isExtended && !isStopping)
+            order.wait = holdWait;
+        worker.isHoldOpen = true;
+        m_toldEnd[id] = worker.notedEnd;
+        orders.holds.push_back(order);
+    }
+}
+
+void dispatcher::planPaces(dispatch_orders& orders)
+{
+    for (auto& [id, worker] : m_workers) {
+        double worst = -1;
+        for (const auto& [name, run] : worker.runs) {
+            const auto* job = findJob(name.job);
+            if (!job || !run.isLasting || run.isFiller || job->spec(name).latencyTarget.count() <= 0)
+                continue;
+            const auto target = static_cast<double>(job->spec(name).latencyTarget.count());
+            worst = std::max(worst, static_cast<double>(run.load) / target);
+        }
+        if (worst < 0)
+            continue;
+        for (auto& [name, run] : worker.runs) {
+            if (!run.isFiller || run.phase != run_phase::Running)
+                continue;
+            int pace = run.pace;
+            if (worst > slowAtShare)
+                pace = pace / 2;
+            else if (worst < hastenBelowShare)
+                pace = std::min(100, pace + paceStep);
+            if (pace == run.pace)
+                continue;
+            run.pace = pace;
+            orders.paces.push_back({ .worker = { worker.entry.id, worker.entry.address },
+                .task = name,
+                .run = run.run,
+                .pace = { pace } });
+        }
+    }
+}
+
+pool_demand dispatcher::demandOf(const Common::pool_id& pool) const
+{
+    pool_demand demand;
+    for (const auto& [id, worker] : m_workers) {
+        if (worker.entry.pool != pool)
+            continue;
+        demand.running += worker.used();
+        if (worker.isListed && !worker.entry.isDraining)
+            demand.capacity += worker.entry.capacity;
+    }
+    for (const auto& [id, job] : m_jobs) {
+        const auto* queue = queueOf(*job);
+        if (!queue || queue->pool != pool || Jobs::isFinal(job->state))
+            continue;
+        for (auto& [number, occurrence] : job->occurrences()) {
+            for (std::size_t step = 0; step < occurrence.steps.size(); ++step) {
+                const auto& state = occurrence.steps[step];
+                const auto& spec = job->record().spec.steps[step];
+                if (spec.isFiller || !job->isReady(occurrence, static_cast<int>(step)))
+                    continue;
+                const auto open = static_cast<std::int64_t>(state.tasks.size()) - state.done - state.placed;
+                demand.waiting += Jobs::times(spec.request, open);
+            }
+        }
+    }
+    return demand;
+}
+
+commit_batch dispatcher::takeCommit()
+{
+    commit_batch batch;
+    for (const auto& id : m_dirty) {
+        if (auto* job = findJob({ id }))
+            batch.progress.push_back(job->progress());
+    }
+    m_dirty.clear();
+    batch.covered = std::move(m_uncovered);
+    m_uncovered.clear();
+    return batch;
+}
+
+void dispatcher::onCommitted(const commit_batch& batch, Common::instant now)
+{
+    for (const auto& progress : batch.progress) {
+        if (Jobs::isFinal(progress.state)) {
+            m_jobs.erase(progress.job.value);
+            m_freshJobs.erase(progress.job.value);
+        }
+    }
+    for (const auto& [id, end] : batch.covered) {
+        const auto found = m_workers.find(id);
+        if (found == m_workers.end())
+            continue;
+        // The number is of an earlier life when it is beyond what this one has listed.
+        if (end <= found->second.seenEnd)
+            found->second.notedEnd = std::max(found->second.notedEnd, end);
+        found->second.nextHold = now;
+    }
+}
+
+void dispatcher::observe(const dispatch_event& event) { m_observer.observe(event); }
+
+}
--- /dev/null
+++ b/Source/Core/Dispatch/Dispatcher.h
@@ -0,0 +1,174 @@
+#pragma once
+
+#include "Dispatch/OpenJob.h"
+#include "Dispatch/Placement.h"
+#include "Dispatch/TeamUsage.h"
+
+#include <set>
+#include <unordered_map>
+
+namespace Dispatch {
+
+struct dispatcher_options {
+    fencing_token token;
+    /// Run numbers of this holder are higher; earlier holders used those up to it.
+    run_number runBase;
+    lease_options lease;
+    /// Longest time in which a worker carries out a stop.
+    Common::millis stopTime { 200 };
+    /// A holder before us may have started tasks for so long after our claim.
+    Common::millis overlap { 1500 };
+};
+
+struct dispatch_orders {
+    std::vector<start_order> starts;
+    std::vector<stop_order> stops;
+    std::vector<hold_order> holds;
+    std::vector<pace_order> paces;
+};
+
+/// Progress to be stored, and the ends of each worker that it covers.
+struct commit_batch {
+    std::vector<Jobs::job_progress> progress;
+    std::map<Common::worker_id, end_number> covered;
+
+    bool empty() const { return progress.empty() && covered.empty(); }
+};
+
+enum class dispatch_event_kind {
+    Adopted,
+    Started,
+    StartRefused,
+    StartUnsettled,
+    StopOrdered,
+    Ended,
+    Vanished,
+    Stalled,
+    WorkerSilent,
+    WorkerLapsed,
+    WorkerReborn,
+    WorkerDistrusted,
+    JobOver,
+    Fenced
+};
+
+/// A decision, or a fact that changes what the holder believes. For logs and counters.
+struct dispatch_event {
+    dispatch_event_kind kind;
+    Jobs::task_name task;
+    Common::worker_id worker;
+    run_number run;
+    std::optional<order_outcome> outcome;
+    std::optional<end_kind> end;
+    std::optional<Jobs::job_state> state;
+};
+
+class dispatch_observer {
+public:
+    virtual ~dispatch_observer() = default;
+    virtual void observe(const dispatch_event&) = 0;
+};
+
+/// What a pool has, and what it is asked for.
+struct pool_demand {
+    /// Asked for by tasks that are ready and wait.
+    Jobs::resources waiting;
+    /// Taken by tasks on workers, fillers aside.
+    Jobs::resources running;
+    Jobs::resources capacity;
+};
+
+/// Holder's decisions for the workers and jobs of its pools. Free of threads, sockets and clocks: replies
+/// and times come in, orders come out.
+class dispatcher {
+public:
+    dispatcher(const dispatcher_options&, Common::instant now, dispatch_observer&);
+
+    void setRules(const Rules::fleet_rules&);
+    void setEvacuated(std::set<Common::data_centre_id>);
+    void workerListed(const worker_entry&, Common::instant now);
+    void workerUnlisted(const Common::worker_id&);
+    void setCordoned(const Common::worker_id&, bool);
+    void addJob(const Jobs::job_record&, const Jobs::job_progress&, Common::instant now);
+    void cancelJob(const Common::job_id&);
+
+    /// `mayStart` is false while another holder may have taken over.
+    dispatch_orders plan(Common::instant now, Common::wall_millis wall, bool mayStart);
+    void onStart(const start_order&, const order_reply&, Common::instant now);
+    void onStop(const stop_order&, const order_reply&, Common::instant now);
+    void onHold(const hold_order&, const hold_reply&, Common::instant sentAt, Common::instant now);
+    void onPace(const pace_order&, const order_reply&);
+
+    /// Progress that isn't stored yet. Each is handed out once.
+    commit_batch takeCommit();
+    void onCommitted(const commit_batch&, Common::instant now);
+
+    /// Another holder has taken over; no order is to be sent any more.
+    bool isFenced() const { return m_isFenced; }
+    bool hasJob(const Common::job_id& id) const { return m_jobs.contains(id.value); }
+    pool_demand demandOf(const Common::pool_id&) const;
+    const std::map<Common::worker_id, worker_state>& workers() const { return m_workers; }
+    /// Stops the lasting tasks of a cordoned worker as far as disruption budgets allow.
+    void vacate(const Common::worker_id&);
+
+private:
+    struct located_run {
+        worker_state* worker { nullptr };
+        task_run* run { nullptr };
+    };
+
+    open_job* findJob(const Common::job_id&);
+    const Rules::queue_rule* queueOf(const open_job&) const;
+    bool isPoolOpen(const Common::pool_id&, Common::instant now) const;
+    std::vector<worker_state*> openWorkers(const Common::pool_id&, Common::instant now);
+    std::vector<open_job*> jobsInOrder(const Common::pool_id&, Common::instant now);
+
+    void expire(Common::instant now);
+    void planStarts(const Common::pool_id&, Common::instant now, dispatch_orders&);
+    void planStep(open_job&, int occurrence, int step, const std::vector<worker_state*>&, Common::instant now,
+        dispatch_orders&);
+    void planGang(open_job&, int occurrence, int step, const std::vector<worker_state*>&, Common::instant now,
+        dispatch_orders&);
+    placement_request requestFor(open_job&, int occurrence, int step, std::map<Common::worker_id, int>& counts);
+    void start(open_job&, const Jobs::task_name&, worker_state&, run_number, Common::instant now, dispatch_orders&);
+    void planStops(Common::instant now, dispatch_orders&);
+    void planHolds(Common::instant now, dispatch_orders&);
+    void planPaces(dispatch_orders&);
+
+    task_run& addRun(worker_state&, const Jobs::task_name&, const task_run&);
+    void dropRun(worker_state&, const Jobs::task_name&);
+    /// Forgets the run and lets the task wait again.
+    void releaseRun(worker_state&, Jobs::task_name, Common::instant notBefore);
+    void orderStop(worker_state&, const Jobs::task_name&);
+    void loseAllRuns(worker_state&, Common::instant now);
+    void learn(worker_state&, const order_reply&, Common::instant now);
+    bool checkLife(worker_state&, const order_reply&, Common::instant now);
+    void distrust(worker_state&, Common::instant until);
+    void handleEnd(worker_state&, const listed_end&, Common::instant now);
+    void handleDone(open_job&, const listed_end&);
+    void handleFailure(open_job&, worker_state&, const listed_end&, Common::instant now);
+    void reconcile(worker_state&, const hold_reply&, Common::instant sentAt, Common::instant now);
+    void meetListedRun(worker_state&, const listed_run&, Common::instant now);
+    void updateRun(worker_state&, const Jobs::task_name&, task_run&, const listed_run&, Common::instant now);
+    void conclude(open_job&, Jobs::job_state);
+    void stopRunsOf(const Common::job_id&);
+    bool mayDisturb(open_job&, const Jobs::task_name&) const;
+    void observe(const dispatch_event&);
+
+    dispatcher_options m_options;
+    Common::instant m_takenOverAt;
+    dispatch_observer& m_observer;
+    Rules::fleet_rules m_rules;
+    std::set<Common::data_centre_id> m_evacuated;
+    std::map<Common::worker_id, worker_state> m_workers;
+    std::unordered_map<std::string, std::unique_ptr<open_job>> m_jobs;
+    /// Jobs that came so long after our claim that no earlier holder can have started them.
+    std::set<std::string> m_freshJobs;
+    team_usage m_usage;
+    std::set<std::string> m_dirty;
+    std::map<Common::worker_id, end_number> m_uncovered;
+    std::map<Common::worker_id, end_number> m_toldEnd;
+    bool m_isFenced { false };
+};
+
+}
--- /dev/null
+++ b/Source/Core/Dispatch/DispatcherEvents.cpp
@@ -0,0 +1,428 @@
+#include "Dispatch/Dispatcher.h"
+
+#include <algorithm>
+
+namespace Dispatch {
+
+namespace {
+
+    /// Pause before a worker that doesn't answer is looked at again.
+    constexpr Common::millis silentPause { 150 };
+    /// A worker without an answer gets no new work for this time after each try.
+    constexpr Common::millis silentDistrust { 700 };
+    /// A worker that says it isn't healthy, or has no room where we see some, gets no work for this time.
+    constexpr Common::millis refusalDistrust { 300 };
+    /// Failures in a row after which a worker is suspected rather than its tasks.
+    constexpr int suspectFailures = 2;
+    constexpr Common::millis failureDistrust { 2500 };
+    /// A task whose share of work done stands still for this time is started elsewhere.
+    constexpr Common::millis stallTime { 2000 };
+    /// Pause before a lasting task that ended is started again.
+    constexpr Common::millis lastingPause { 150 };
+    /// Ends that aren't stored yet are listed again; the next look waits for the log for so long.
+    constexpr Common::millis commitPatience { 300 };
+
+}
+
+task_run& dispatcher::addRun(worker_state& worker, const Jobs::task_name& name, const task_run& run)
+{
+    dropRun(worker, name);
+    m_usage.add(run.team, run.request);
+    return worker.addRun(name, run);
+}
+
+void dispatcher::dropRun(worker_state& worker, const Jobs::task_name& name)
+{
+    const auto found = worker.runs.find(name);
+    if (found == worker.runs.end())
+        return;
+    m_usage.remove(found->second.team, found->second.request);
+    worker.removeRun(name);
+}
+
+void dispatcher::releaseRun(worker_state& worker, Jobs::task_name name, Common::instant notBefore)
+{
+    dropRun(worker, name);
+    auto* job = findJob(name.job);
+    const auto* task = job ? job->find(name) : nullptr;
+    if (task && task->phase == task_phase::Placed && task->worker == worker.entry.id)
+        job->release(name, notBefore);
+}
+
+void dispatcher::orderStop(worker_state& worker, const Jobs::task_name& name)
+{
+    auto& run = worker.runs.at(name);
+    if (run.phase == run_phase::Stopping)
+        return;
+    run.phase = run_phase::Stopping;
+    observe({ .kind = dispatch_event_kind::StopOrdered, .task = name, .worker = worker.entry.id, .run = run.run });
+}
+
+void dispatcher::loseAllRuns(worker_state& worker, Common::instant now)
+{
+    std::vector<Jobs::task_name> names;
+    for (const auto& [name, run] : worker.runs)
+        names.push_back(name);
+    for (const auto& name : names)
+        releaseRun(worker, name, now);
+}
+
+void dispatcher::distrust(worker_state& worker, Common::instant until)
+{
+    if (until <= worker.distrustedUntil)
+        return;
+    worker.distrustedUntil = until;
+    observe({ .kind = dispatch_event_kind::WorkerDistrusted, .worker = worker.entry.id });
+}
+
+bool dispatcher::checkLife(worker_state& worker, const order_reply& reply, Common::instant now)
+{
+    const bool isOther = reply.outcome == order_outcome::OtherLife;
+    const bool isReborn = reply.bornAt && *reply.bornAt != worker.entry.bornAt;
+    if (!isOther && !isReborn)
+        return true;
+    observe({ .kind = dispatch_event_kind::WorkerReborn, .worker = worker.entry.id });
+    loseAllRuns(worker, now);
+    auto entry = worker.entry;
+    if (isReborn)
+        entry.bornAt = *reply.bornAt;
+    worker.beginLife(entry);
+    m_uncovered.erase(entry.id);
+    m_toldEnd[entry.id] = {};
+    worker.isListed = worker.isListed && !isOther;
+    worker.nextHold = now + silentPause;
+    return false;
+}
+
+void dispatcher::learn(worker_state& worker, const order_reply& reply, Common::instant now)
+{
+    if (reply.clock)
+        worker.learnClock(*reply.clock, now);
+    if (reply.outcome != order_outcome::Fenced || m_isFenced)
+        return;
+    m_isFenced = true;
+    observe({ .kind = dispatch_event_kind::Fenced, .worker = worker.entry.id });
+}
+
+void dispatcher::onStart(const start_order& order, const order_reply& reply, Common::instant now)
+{
+    const auto found = m_workers.find(order.worker.id);
+    if (found == m_workers.end())
+        return;
+    auto& worker = found->second;
+    if (!checkLife(worker, reply, now))
+        return;
+    learn(worker, reply, now);
+    const auto entry = worker.runs.find(order.task);
+    if (entry == worker.runs.end() || entry->second.run != order.run)
+        return;
+    auto& run = entry->second;
+    const dispatch_event event { .kind = dispatch_event_kind::StartRefused,
+        .task = order.task,
+        .worker = order.worker.id,
+        .run = order.run,
+        .outcome = reply.outcome };
+    if (reply.outcome == order_outcome::Done) {
+        if (run.phase == run_phase::Starting)
+            run.phase = run_phase::Running;
+        run.startedAt = now;
+        run.progressedAt = now;
+        auto* job = findJob(order.task.job);
+        if (job && job->state == Jobs::job_state::Pending) {
+            job->state = Jobs::job_state::Running;
+            m_dirty.insert(order.task.job.value);
+        }
+        auto started = event;
+        started.kind = dispatch_event_kind::Started;
+        observe(started);
+        worker.nextHold = std::min(worker.nextHold, now);
+        return;
+    }
+    if (reply.outcome == order_outcome::NoAnswer) {
+        auto unsettled = event;
+        unsettled.kind = dispatch_event_kind::StartUnsettled;
+        observe(unsettled);
+        distrust(worker, now + silentDistrust);
+        orderStop(worker, order.task);
+        return;
+    }
+    observe(event);
+    if (reply.outcome == order_outcome::Unhealthy || reply.outcome == order_outcome::NoRoom)
+        distrust(worker, now + refusalDistrust);
+    if (reply.outcome == order_outcome::NotSent)
+        distrust(worker, now + silentDistrust);
+    releaseRun(worker, order.task, now + (reply.outcome == order_outcome::Invalid ? silentDistrust : Common::millis(0)));
+}
+
+void dispatcher::onStop(const stop_order& order, const order_reply& reply, Common::instant now)
+{
+    const auto found = m_workers.find(order.worker.id);
+    if (found == m_workers.end())
+        return;
+    auto& worker = found->second;
+    if (!checkLife(worker, reply, now))
+        return;
+    learn(worker, reply, now);
+    const auto entry = worker.runs.find(order.task);
+    if (entry == worker.runs.end() || entry->second.run != order.run)
+        return;
+    entry->second.isStopOpen = false;
+    const bool isTaken = reply.outcome == order_outcome::Done || reply.outcome == order_outcome::OldRun;
+    if (!isTaken)
+        return;
+    entry->second.stopTakenAt = now;
+    worker.nextHold = now + m_options.stopTime;
+}
+
+void dispatcher::onPace(const pace_order& order, const order_reply& reply)
+{
+    const auto found = m_workers.find(order.worker.id);
+    if (found == m_workers.end() || reply.outcome == order_outcome::Done)
+        return;
+    const auto run = found->second.runs.find(order.task);
+    // What wasn't taken for sure is ordered again with the next look.
+    if (run != found->second.runs.end() && run->second.run == order.run)
+        run->second.pace = 100;
+}
+
+void dispatcher::onHold(const hold_order& order, const hold_reply& reply, Common::instant sentAt, Common::instant now)
+{
+    const auto found = m_workers.find(order.worker.id);
+    if (found == m_workers.end())
+        return;
+    auto& worker = found->second;
+    worker.isHoldOpen = false;
+    if (!checkLife(worker, reply.base, now))
+        return;
+    learn(worker, reply.base, now);
+    if (reply.base.outcome != order_outcome::Done) {
+        if (worker.holdsWithoutAnswer++ == 0)
+            observe({ .kind = dispatch_event_kind::WorkerSilent,
+                .worker = worker.entry.id,
+                .outcome = reply.base.outcome });
+        worker.nextHold = now + silentPause;
+        distrust(worker, now + silentDistrust);
+        return;
+    }
+    worker.holdsWithoutAnswer = 0;
+    worker.isInventoried = true;
+    for (const auto& end : reply.ended) {
+        if (end.number <= worker.seenEnd)
+            continue;
+        worker.seenEnd = end.number;
+        handleEnd(worker, end, now);
+    }
+    if (worker.seenEnd > worker.notedEnd)
+        m_uncovered[worker.entry.id] = worker.seenEnd;
+    reconcile(worker, reply, sentAt, now);
+    worker.nextHold = worker.seenEnd > worker.notedEnd ? now + commitPatience : now;
+}
+
+void dispatcher::handleEnd(worker_state& worker, const listed_end& end, Common::instant now)
+{
+    observe({ .kind = dispatch_event_kind::Ended,
+        .task = end.task,
+        .worker = worker.entry.id,
+        .run = end.run,
+        .end = end.kind });
+    const auto entry = worker.runs.find(end.task);
+    const bool isCurrent = entry != worker.runs.end() && entry->second.run == end.run;
+    auto* job = findJob(end.task.job);
+    auto* task = job ? job->find(end.task) : nullptr;
+    if (!task || Jobs::isFinal(job->state)) {
+        if (isCurrent)
+            dropRun(worker, end.task);
+        return;
+    }
+    task->lastRun = std::max(task->lastRun, end.run);
+    const bool isLasting = job->spec(end.task).isLasting;
+    if (end.kind == end_kind::Done && !isLasting) {
+        if (isCurrent)
+            dropRun(worker, end.task);
+        worker.failuresInRow = 0;
+        handleDone(*job, end);
+        return;
+    }
+    if (!end.checkpoint.empty()) {
+        task->checkpoint = end.checkpoint;
+        m_dirty.insert(end.task.job.value);
+    }
+    if (isCurrent)
+        releaseRun(worker, end.task, now + (isLasting ? lastingPause : Common::millis(0)));
+    if (end.kind == end_kind::Failed && !isLasting)
+        handleFailure(*job, worker, end, now);
+}
+
+void dispatcher::handleDone(open_job& job, const listed_end& end)
+{
+    const auto& spec = job.spec(end.task);
+    const auto first = spec.isGang ? 0 : end.task.index;
+    const auto last = spec.isGang ? spec.count - 1 : end.task.index;
+    for (int index = first; index <= last; ++index) {
+        auto name = end.task;
+        name.index = index;
+        const auto* task = job.find(name);
+        // Another run of a task that is done is of no use.
+        const auto elsewhere = task && task->phase == task_phase::Placed ? m_workers.find(task->worker) : m_workers.end();
+        if (elsewhere != m_workers.end() && !spec.isGang && elsewhere->second.runs.contains(name))
+            orderStop(elsewhere->second, name);
+        job.finish(name);
+    }
+    m_dirty.insert(job.record().id.value);
+    if (job.state == Jobs::job_state::Pending)
+        job.state = Jobs::job_state::Running;
+    if (job.isComplete())
+        conclude(job, Jobs::job_state::Completed);
+}
+
+void dispatcher::handleFailure(open_job& job, worker_state& worker, const listed_end& end, Common::instant now)
+{
+    if (++worker.failuresInRow >= suspectFailures)
+        distrust(worker, now + failureDistrust);
+    auto* task = job.find(end.task);
+    if (task->phase == task_phase::Done)
+        return;
+    ++task->failures;
+    task->failedOn = worker.entry.id;
+    m_dirty.insert(job.record().id.value);
+    const auto* queue = queueOf(job);
+    if (queue && task->failures >= queue->maxAttempts)
+        conclude(job, Jobs::job_state::Failed);
+}
+
+void dispatcher::reconcile(
+    worker_state& worker, const hold_reply& reply, Common::instant sentAt, Common::instant now)
+{
+    std::set<std::pair<Jobs::task_name, run_number>> listed;
+    for (const auto& run : reply.running) {
+        listed.emplace(run.task, run.run);
+        meetListedRun(worker, run, now);
+    }
+    std::vector<Jobs::task_name> gone;
+    for (const auto& [name, run] : worker.runs) {
+        if (listed.contains({ name, run.run }))
+            continue;
+        const bool wasThere = run.phase == run_phase::Running && run.startedAt < sentAt;
+        const bool isStopped
+            = run.phase == run_phase::Stopping && run.stopTakenAt && *run.stopTakenAt + m_options.stopTime <= sentAt;
+        if (wasThere || isStopped)
+            gone.push_back(name);
+    }
+    for (const auto& name : gone) {
+        observe({ .kind = dispatch_event_kind::Vanished, .task = name, .worker = worker.entry.id });
+        releaseRun(worker, name, now);
+    }
+}
+
+void dispatcher::meetListedRun(worker_state& worker, const listed_run& listed, Common::instant now)
+{
+    const auto entry = worker.runs.find(listed.task);
+    if (entry != worker.runs.end()) {
+        if (entry->second.run == listed.run)
+            updateRun(worker, listed.task, entry->second, listed, now);
+        return;
+    }
+    auto* job = findJob(listed.task.job);
+    auto* task = job ? job->find(listed.task) : nullptr;
+    task_run run { .run = listed.run, .phase = run_phase::Running, .startedAt = now, .progressedAt = now };
+    if (task) {
+        const auto& spec = job->spec(listed.task);
+        run.request = spec.request;
+        run.team = job->record().team;
+        run.isLasting = spec.isLasting;
+        run.isFiller = spec.isFiller;
+    }
+    const bool isWanted = task && task->phase == task_phase::Waiting && !Jobs::isFinal(job->state);
+    addRun(worker, listed.task, run);
+    if (!isWanted) {
+        orderStop(worker, listed.task);
+        return;
+    }
+    observe({ .kind = dispatch_event_kind::Adopted,
+        .task = listed.task,
+        .worker = worker.entry.id,
+        .run = listed.run });
+    job->place(listed.task, worker.entry.id, listed.run);
+    if (job->state == Jobs::job_state::Pending) {
+        job->state = Jobs::job_state::Running;
+        m_dirty.insert(listed.task.job.value);
+    }
+}
+
+void dispatcher::updateRun(worker_state& worker, const Jobs::task_name& name, task_run& run,
+    const listed_run& listed, Common::instant now)
+{
+    run.load = listed.load;
+    if (listed.percent.value != run.percent) {
+        run.percent = static_cast<int>(listed.percent.value);
+        run.progressedAt = now;
+    }
+    if (auto* job = findJob(name.job); job && !listed.checkpoint.empty()) {
+        if (auto* task = job->find(name))
+            task->checkpoint = listed.checkpoint;
+    }
+    const bool isStalled = !run.isLasting && !run.isFiller && run.phase == run_phase::Running
+        && now - run.progressedAt > stallTime;
+    if (!isStalled)
+        return;
+    observe({ .kind = dispatch_event_kind::Stalled, .task = name, .worker = worker.entry.id, .run = run.run });
+    distrust(worker, now + failureDistrust);
+    orderStop(worker, name);
+}
+
+void dispatcher::conclude(open_job& job, Jobs::job_state state)
+{
+    if (Jobs::isFinal(job.state))
+        return;
+    job.state = state;
+    m_dirty.insert(job.record().id.value);
+    observe({ .kind = dispatch_event_kind::JobOver, .task = { .job = job.record().id }, .state = state });
+    stopRunsOf(job.record().id);
+}
+
+void dispatcher::stopRunsOf(const Common::job_id& id)
+{
+    for (auto& [workerId, worker] : m_workers) {
+        for (auto& [name, run] : worker.runs) {
+            if (name.job == id)
+                orderStop(worker, name);
+        }
+    }
+}
+
+bool dispatcher::mayDisturb(open_job& job, const Jobs::task_name& name) const
+{
+    const auto& spec = job.spec(name);
+    if (!spec.isLasting)
+        return true;
+    const auto& tasks = job.occurrences()[name.occurrence].steps[static_cast<std::size_t>(name.step)].tasks;
+    int away = 0;
+    for (std::size_t index = 0; index < tasks.size(); ++index) {
+        if (static_cast<int>(index) == name.index)
+            continue;
+        const auto worker = m_workers.find(tasks[index].worker);
+        const auto other = taskAt(job.record(), name.occurrence, name.step, index);
+        const bool isAtWork = tasks[index].phase == task_phase::Placed && worker != m_workers.end()
+            && worker->second.runs.contains(other) && worker->second.runs.at(other).phase == run_phase::Running
+            && worker->second.runs.at(other).percent >= 100;
+        away += isAtWork ? 0 : 1;
+    }
+    return away < spec.disruptionBudget;
+}
+
+void dispatcher::vacate(const Common::worker_id& id)
+{
+    const auto found = m_workers.find(id);
+    if (found == m_workers.end())
+        return;
+    auto& worker = found->second;
+    for (auto& [name, run] : worker.runs) {
+        if (run.phase != run_phase::Running || (!run.isLasting && !run.isFiller))
+            continue;
+        auto* job = findJob(name.job);
+        if (!job || mayDisturb(*job, name))
+            orderStop(worker, name);
+    }
+}
+
+}
--- /dev/null
+++ b/Source/Core/Dispatch/OpenJob.cpp
@@ -0,0 +1,172 @@
+#include "Dispatch/OpenJob.h"
+
+#include <algorithm>
+
+namespace Dispatch {
+
+open_job::open_job(const Jobs::job_record& record, const Jobs::job_progress& progress, run_number base)
+    : state(progress.state)
+    , m_record(record)
+    , m_base(base)
+{
+    if (m_record.spec.repetitions <= 0)
+        open(0);
+    for (const auto& known : progress.tasks) {
+        if (known.occurrence < 0 || known.occurrence >= occurrenceCount())
+            continue;
+        open(known.occurrence);
+        const Jobs::task_name name { m_record.id, known.occurrence, known.step, known.index };
+        auto* task = find(name);
+        if (!task)
+            continue;
+        task->failures = known.failures;
+        task->checkpoint = known.checkpoint;
+        if (known.isDone)
+            finish(name);
+    }
+}
+
+int open_job::occurrenceCount() const { return std::max(1, m_record.spec.repetitions); }
+
+occurrence_state& open_job::open(int occurrence)
+{
+    auto& opened = m_occurrences[occurrence];
+    if (!opened.steps.empty())
+        return opened;
+    for (const auto& step : m_record.spec.steps) {
+        task_state fresh;
+        fresh.lastRun = m_base;
+        opened.steps.push_back({ .tasks = std::vector<task_state>(static_cast<std::size_t>(step.count), fresh) });
+    }
+    return opened;
+}
+
+void open_job::openDue(Common::wall_millis now)
+{
+    const auto& spec = m_record.spec;
+    for (int occurrence = 0; occurrence < spec.repetitions; ++occurrence) {
+        if (spec.firstStart.value + occurrence * spec.interval.count() > now.value)
+            return;
+        open(occurrence);
+    }
+}
+
+task_state* open_job::find(const Jobs::task_name& name)
+{
+    const auto occurrence = m_occurrences.find(name.occurrence);
+    if (occurrence == m_occurrences.end() || name.step < 0 || name.index < 0)
+        return nullptr;
+    auto& steps = occurrence->second.steps;
+    if (name.step >= static_cast<int>(steps.size()))
+        return nullptr;
+    auto& tasks = steps[static_cast<std::size_t>(name.step)].tasks;
+    if (name.index >= static_cast<int>(tasks.size()))
+        return nullptr;
+    return &tasks[static_cast<std::size_t>(name.index)];
+}
+
+bool open_job::isReady(const occurrence_state& occurrence, int step) const
+{
+    const auto& depends = m_record.spec.steps[static_cast<std::size_t>(step)].dependsOn;
+    return std::all_of(depends.begin(), depends.end(), [&occurrence](int earlier) {
+        return earlier >= 0 && earlier < static_cast<int>(occurrence.steps.size())
+            && occurrence.steps[static_cast<std::size_t>(earlier)].isDone();
+    });
+}
+
+bool open_job::isComplete() const
+{
+    if (static_cast<int>(m_occurrences.size()) < occurrenceCount())
+        return false;
+    for (const auto& [number, occurrence] : m_occurrences) {
+        if (!std::all_of(occurrence.steps.begin(), occurrence.steps.end(),
+                [](const step_state& step) { return step.isDone(); }))
+            return false;
+    }
+    return true;
+}
+
+bool open_job::hasLastingTasks() const
+{
+    const auto& steps = m_record.spec.steps;
+    return std::any_of(steps.begin(), steps.end(), [](const auto& step) { return step.isLasting; });
+}
+
+void open_job::place(const Jobs::task_name& name, const Common::worker_id& worker, run_number run)
+{
+    auto* task = find(name);
+    task->phase = task_phase::Placed;
+    task->worker = worker;
+    task->lastRun = std::max(task->lastRun, run);
+    ++m_occurrences[name.occurrence].steps[static_cast<std::size_t>(name.step)].placed;
+}
+
+void open_job::release(const Jobs::task_name& name, Common::instant notBefore)
+{
+    auto* task = find(name);
+    if (!task || task->phase != task_phase::Placed)
+        return;
+    task->phase = task_phase::Waiting;
+    task->notBefore = notBefore;
+    --m_occurrences[name.occurrence].steps[static_cast<std::size_t>(name.step)].placed;
+}
+
+void open_job::finish(const Jobs::task_name& name)
+{
+    auto* task = find(name);
+    if (!task || task->phase == task_phase::Done)
+        return;
+    auto& step = m_occurrences[name.occurrence].steps[static_cast<std::size_t>(name.step)];
+    if (task->phase == task_phase::Placed)
+        --step.placed;
+    task->phase = task_phase::Done;
+    ++step.done;
+}
+
+Jobs::job_progress open_job::progress() const
+{
+    Jobs::job_progress progress { .job = m_record.id, .state = state };
+    if (Jobs::isFinal(state))
+        return progress;
+    for (const auto& [number, occurrence] : m_occurrences) {
+        for (std::size_t step = 0; step < occurrence.steps.size(); ++step) {
+            const auto& tasks = occurrence.steps[step].tasks;
+            for (std::size_t index = 0; index < tasks.size(); ++index) {
+                const auto& task = tasks[index];
+                const bool isDone = task.phase == task_phase::Done;
+                if (!isDone && task.failures == 0 && task.checkpoint.empty())
+                    continue;
+                progress.tasks.push_back({ .occurrence = number,
+                    .step = static_cast<int>(step),
+                    .index = static_cast<int>(index),
+                    .isDone = isDone,
+                    .failures = task.failures,
+                    .checkpoint = isDone ? std::string() : task.checkpoint });
+            }
+        }
+    }
+    return progress;
+}
+
+Common::millis longestChain(const Jobs::job_spec& spec)
+{
+    std::vector<Common::millis> ends(spec.steps.size(), Common::millis(0));
+    Common::millis longest { 0 };
+    for (std::size_t step = 0; step < spec.steps.size(); ++step) {
+        Common::millis begin { 0 };
+        for (const int earlier : spec.steps[step].dependsOn) {
+            if (earlier >= 0 && earlier < static_cast<int>(step))
+                begin = std::max(begin, ends[static_cast<std::size_t>(earlier)]);
+        }
+        ends[step] = begin + spec.steps[step].estimate;
+        longest = std::max(longest, ends[step]);
+    }
+    return longest;
+}
+
+Jobs::task_name taskAt(const Jobs::job_record& job, int occurrence, int step, std::size_t index)
+{
+    return { .job = job.id, .occurrence = occurrence, .step = step, .index = static_cast<int>(index) };
+}
+
+}
--- /dev/null
+++ b/Source/Core/Dispatch/WorkerState.cpp
@@ -0,0 +1,96 @@
+#include "Dispatch/WorkerState.h"
+
+#include <algorithm>
+
+namespace Dispatch {
+
+namespace {
+
+    /// A worker's clock may run 2% slow; the bound is a little wider.
+    constexpr double maxClockSlowness = 1.03;
+    /// Added to a lapse for the time an expiry takes to be carried out.
+    constexpr Common::millis lapseSlack { 150 };
+
+}
+
+worker_state::worker_state(worker_entry registered)
+    : entry(std::move(registered))
+{
+}
+
+void worker_state::learnClock(worker_millis clock, Common::instant receivedAt)
+{
+    m_clock = clock_reading { .clock = clock, .at = receivedAt };
+}
+
+worker_millis worker_state::clockAt(Common::instant now) const
+{
+    if (!m_clock)
+        return {};
+    return { m_clock->clock.value + Common::elapsed(m_clock->at, now).count() };
+}
+
+worker_millis worker_state::grant(Common::instant now, Common::millis lease)
+{
+    const auto slow = std::chrono::duration<double, std::milli>(static_cast<double>(lease.count()) * maxClockSlowness);
+    lapseBound
+        = std::max(lapseBound, now + std::chrono::duration_cast<Common::boot_clock::duration>(slow) + lapseSlack);
+    return { clockAt(now).value + lease.count() };
+}
+
+void worker_state::beginLife(worker_entry registered)
+{
+    entry = std::move(registered);
+    isInventoried = false;
+    seenEnd = {};
+    notedEnd = {};
+    failuresInRow = 0;
+    holdsWithoutAnswer = 0;
+    m_clock.reset();
+    runs.clear();
+    m_used = {};
+}
+
+Jobs::resources worker_state::free() const { return entry.capacity - m_used; }
+
+Common::millicores worker_state::leftOver() const
+{
+    Common::millicores left = free().processor;
+    for (const auto& [name, run] : runs) {
+        if (run.isFiller)
+            left -= run.request.processor;
+    }
+    return left;
+}
+
+Jobs::resources worker_state::charge(const task_run& run)
+{
+    auto amount = run.request;
+    if (run.isFiller)
+        amount.processor = {};
+    return amount;
+}
+
+task_run& worker_state::addRun(const Jobs::task_name& name, const task_run& run)
+{
+    removeRun(name);
+    m_used += charge(run);
+    return runs[name] = run;
+}
+
+void worker_state::removeRun(const Jobs::task_name& name)
+{
+    const auto found = runs.find(name);
+    if (found == runs.end())
+        return;
+    m_used -= charge(found->second);
+    runs.erase(found);
+}
+
+bool worker_state::runsOnlyFillersOrLasting() const
+{
+    return std::all_of(runs.begin(), runs.end(),
+        [](const auto& entry) { return entry.second.isLasting || entry.second.isFiller; });
+}
+
+}
--- /dev/null
+++ b/Source/Core/EventLoop/HttpMessages.h
@@ -0,0 +1,37 @@
+#pragma once
+
+#include <functional>
+#include <string>
+#include <string_view>
+#include <vector>
+
+namespace EventLoop {
+
+struct http_header {
+    std::string name;
+    std::string value;
+};
+
+struct http_request {
+    std::string method;
+    /// Path and query.
+    std::string target;
+    std::vector<http_header> headers;
+    std::string body;
+    std::string contentType { "application/json" };
+};
+
+struct http_response {
+    int status { 0 };
+    std::string body;
+    std::vector<http_header> headers;
+    std::string contentType { "application/json" };
+};
+
+/// Value of the header of that name, whatever its case. Empty when there is none.
+std::string_view findHeader(const std::vector<http_header>&, std::string_view name);
+
+/// Takes the answer to one request; called once.
+using responder = std::function<void(http_response)>;
+
+}
--- /dev/null
+++ b/Source/Core/Jobs/JobBook.cpp
@@ -0,0 +1,74 @@
+#include "Jobs/JobBook.h"
+
+#include <algorithm>
+
+namespace Jobs {
+
+void job_book::accept(job_record record)
+{
+    auto& job = m_jobs[record.id.value];
+    // The first copy of an id counts; a caller that had no answer sends it again.
+    if (!job.record)
+        job.record = std::move(record);
+}
+
+void job_book::cancel(const Common::job_id& id)
+{
+    m_jobs[id.value].isCancelled = true;
+}
+
+void job_book::advance(job_progress progress)
+{
+    auto& job = m_jobs[progress.job.value];
+    job.progress = std::move(progress);
+}
+
+void job_book::forget(const Common::job_id& id)
+{
+    m_jobs.erase(id.value);
+}
+
+const booked_job* job_book::find(const Common::job_id& id) const
+{
+    const auto found = m_jobs.find(id.value);
+    if (found == m_jobs.end() || !found->second.record)
+        return nullptr;
+    return &found->second;
+}
+
+std::optional<job_state> job_book::stateOf(const Common::job_id& id) const
+{
+    const auto* job = find(id);
+    if (!job)
+        return std::nullopt;
+    if (isFinal(job->progress.state))
+        return job->progress.state;
+    return job->isCancelled ? job_state::Cancelled : job->progress.state;
+}
+
+int job_book::waitingIn(const Common::queue_id& queue) const
+{
+    const auto isWaiting = [&queue](const auto& entry) {
+        const auto& job = entry.second;
+        return job.record && job.record->queue == queue && !job.isCancelled
+            && job.progress.state == job_state::Pending;
+    };
+    return static_cast<int>(std::count_if(m_jobs.begin(), m_jobs.end(), isWaiting));
+}
+
+std::vector<Common::job_id> job_book::openJobs() const { return unfinished(false); }
+
+std::vector<Common::job_id> job_book::cancelledJobs() const { return unfinished(true); }
+
+std::vector<Common::job_id> job_book::unfinished(bool isCancelled) const
+{
+    std::vector<Common::job_id> jobs;
+    for (const auto& [id, job] : m_jobs) {
+        if (job.record && job.isCancelled == isCancelled && !isFinal(job.progress.state))
+            jobs.push_back({ id });
+    }
+    std::sort(jobs.begin(), jobs.end());
+    return jobs;
+}
+
+}
--- /dev/null
+++ b/Source/Core/Jobs/Resources.h
@@ -0,0 +1,49 @@
+#pragma once
+
+#include "Common/Ids.h"
+
+#include <algorithm>
+
+namespace Jobs {
+
+/// Amounts of processor, memory and accelerators.
+struct resources {
+    Common::millicores processor;
+    Common::megabytes memory;
+    Common::accelerator_count accelerators;
+
+    resources& operator+=(const resources& other)
+    {
+        processor += other.processor;
+        memory += other.memory;
+        accelerators += other.accelerators;
+        return *this;
+    }
+    resources& operator-=(const resources& other)
+    {
+        processor -= other.processor;
+        memory -= other.memory;
+        accelerators -= other.accelerators;
+        return *this;
+    }
+    friend resources operator+(resources left, const resources& right) { return left += right; }
+    friend resources operator-(resources left, const resources& right) { return left -= right; }
+    friend auto operator<=>(const resources&, const resources&) = default;
+};
+
+/// Whether `amount` fits into `room` in each of its parts.
+inline bool fits(const resources& amount, const resources& room)
+{
+    return amount.processor <= room.processor && amount.memory <= room.memory
+        && amount.accelerators <= room.accelerators;
+}
+
+/// The same amounts `count` times.
+inline resources times(const resources& amount, std::int64_t count)
+{
+    return { .processor = { amount.processor.value * count },
+        .memory = { amount.memory.value * count },
+        .accelerators = { amount.accelerators.value * count } };
+}
+
+}
--- /dev/null
+++ b/Source/Core/Rules/FleetRules.h
@@ -0,0 +1,84 @@
+#pragma once
+
+#include "Common/Clock.h"
+#include "Jobs/Resources.h"
+
+#include <optional>
+#include <string>
+#include <string_view>
+#include <vector>
+
+/// What operators have configured, in the product's own terms.
+namespace Rules {
+
+/// Times of the service that says which workers may run a step.
+struct advice_policy {
+    /// Time of one answer, and more for each worker asked about.
+    Common::millis base { 0 };
+    Common::millis perWorker { 0 };
+    /// How long a ticket serves.
+    Common::millis validity { 0 };
+};
+
+struct queue_rule {
+    Common::queue_id id;
+    std::string host;
+    std::string pathPrefix;
+    Common::pool_id pool;
+    /// 0 goes first.
+    int priority { 0 };
+    int maxAttempts { 1 };
+    /// A job is on time within this many times its longest chain of work, and `latencyTarget` more.
+    double stretch { 1 };
+    Common::millis latencyTarget { 0 };
+    bool isPublic { false };
+    std::optional<advice_policy> advice;
+};
+
+struct pool_rule {
+    Common::pool_id id;
+    /// Its workers refuse what doesn't fit.
+    bool checksCapacity { false };
+    /// Its instances are off and cost nothing.
+    bool isSpare { false };
+};
+
+struct team_rule {
+    Common::team_id id;
+    std::vector<std::string> keys;
+    double weight { 1 };
+    /// What the team may have running over all pools; 0 for no limit.
+    Jobs::resources most;
+};
+
+/// A configuration in full. Versions grow, not always by one.
+struct fleet_rules {
+    std::int64_t version { 0 };
+    std::vector<queue_rule> queues;
+    std::vector<pool_rule> pools;
+    std::vector<team_rule> teams;
+    std::uint32_t headerBytes { 16384 };
+    std::uint64_t bodyBytes { 262144 };
+    Common::millis requestTimeout { 3000 };
+    Common::millis idleTimeout { 15000 };
+
+    const queue_rule* findQueue(const Common::queue_id&) const;
+    /// Queue with the longest prefix that `path` begins with, for that host. Null when there is none.
+    const queue_rule* matchQueue(std::string_view host, std::string_view path) const;
+    const team_rule* findTeam(const Common::team_id&) const;
+    /// Team that owns the key. Null when no team does.
+    const team_rule* teamOfKey(std::string_view key) const;
+    const pool_rule* findPool(const Common::pool_id&) const;
+};
+
+/// Request of an operator that instances be maintained.
+struct upkeep_wave {
+    std::int64_t number { 0 };
+    std::vector<Common::instance_id> instances;
+    /// From the moment of the request.
+    Common::millis duration { 0 };
+    /// Instances of the wave that may be down at once.
+    int mostAtOnce { 1 };
+};
+
+}
--- /dev/null
+++ b/Source/Core/Station/CallerDesk.cpp
@@ -0,0 +1,204 @@
+#include "Station/CallerDesk.h"
+
+#include "Common/Logging.h"
+#include "Station/JobFeeds.h"
+
+namespace Station {
+
+using EventLoop::http_request;
+using EventLoop::responder;
+
+namespace {
+
+    /// Rules confirmed within this time are fresh.
+    constexpr Common::millis freshness { 1800 };
+    /// How long a call waits for a look at the store.
+    constexpr Common::millis lookPatience { 1200 };
+    /// When a caller may come again after a refusal, in seconds.
+    constexpr auto retryAfterSeconds = "1";
+
+    Entry::raw_call rawCall(const http_request& request)
+    {
+        return { .method = request.method,
+            .host = EventLoop::findHeader(request.headers, "Host"),
+            .target = request.target,
+            .authorization = EventLoop::findHeader(request.headers, "Authorization") };
+    }
+
+}
+
+caller_desk::caller_desk(const caller_desk_parts& parts)
+    : m_parts(parts)
+{
+}
+
+bool caller_desk::hasFreshRules() const
+{
+    const auto confirmed = m_parts.operators.confirmedAt();
+    return m_rules && confirmed && m_parts.timers.now() - *confirmed < freshness;
+}
+
+void caller_desk::handle(const http_request& request, const responder& respond)
+{
+    m_parts.figures.add("calls");
+    if (hasFreshRules()) {
+        judge(request, respond, false);
+        return;
+    }
+    m_parts.operators.refresh(lookPatience, [this, request, respond](bool isConfirmed) {
+        if (isConfirmed)
+            judge(request, respond, true);
+        else
+            refuse(respond, 503, "view_too_old", {});
+    });
+}
+
+void caller_desk::judge(const http_request& request, const responder& respond, bool isConfirmed)
+{
+    auto reason = Entry::call_refusal::None;
+    const auto call = Entry::readCall(m_rules ? &*m_rules : nullptr, rawCall(request), reason);
+    if (call) {
+        serve(*call, request, respond);
+        return;
+    }
+    const bool mayBeNews
+        = reason == Entry::call_refusal::NoSuchQueue || reason == Entry::call_refusal::UnknownKey;
+    if (!mayBeNews || isConfirmed) {
+        refuse(respond, Entry::statusOf(reason), Entry::toText(reason), request.target);
+        return;
+    }
+    // A queue or key may just have been added: the refusal must be true as of now.
+    m_parts.operators.refresh(lookPatience, [this, request, respond](bool isNowConfirmed) {
+        if (isNowConfirmed)
+            judge(request, respond, true);
+        else
+            refuse(respond, 503, "view_too_old", {});
+    });
+}
+
+void caller_desk::serve(const Entry::caller_call& call, const http_request& request, const responder& respond)
+{
+    switch (call.verb) {
+    case Entry::call_verb::Submit:
+        submit(call, request, respond);
+        return;
+    case Entry::call_verb::Cancel:
+        cancel(call, respond);
+        return;
+    case Entry::call_verb::State:
+        tellState(call, respond);
+        return;
+    case Entry::call_verb::CountWaiting:
+        respond({ .status = 200, .body = m_parts.format.writeWaiting(m_parts.book.waitingIn(call.queue.id)) });
+        return;
+    }
+}
+
+bool caller_desk::owns(const Entry::caller_call& call) const
+{
+    const auto* job = m_parts.book.find(call.job);
+    if (!job)
+        return false;
+    const auto& team = job->record->team;
+    return job->record->queue == call.queue.id && (team.empty() || call.team.empty() || team == call.team);
+}
+
+void caller_desk::submit(const Entry::caller_call& call, const http_request& request, const responder& respond)
+{
+    if (owns(call)) {
+        respond({ .status = 200, .body = "{}" });
+        return;
+    }
+    auto spec = m_parts.format.readSpec(request.body);
+    if (!spec) {
+        refuse(respond, 400, "bad_job", call.job.value);
+        return;
+    }
+    Jobs::job_record job { .id = call.job,
+        .queue = call.queue.id,
+        .team = call.team,
+        .acceptedAt = Common::wallNow(),
+        .spec = std::move(*spec) };
+    m_parts.appender.add({ jobRecord(job) }, [this, job, respond](Records::append_outcome outcome) {
+        if (outcome == Records::append_outcome::Stored) {
+            m_parts.book.accept(job);
+            Common::writeEvent(Common::log_level::Info, Common::log_category::Jobs, "accepted",
+                { { "job", job.id.value }, { "queue", job.queue.value }, { "team", job.team.value } });
+            respond({ .status = 200, .body = "{}" });
+        } else if (outcome == Records::append_outcome::Refused) {
+            refuse(respond, 503, "not_stored", job.id.value);
+        } else {
+            // It may be stored: the caller has to ask again by the same identifier.
+            refuse(respond, 504, "maybe_stored", job.id.value);
+        }
+    });
+}
+
+void caller_desk::cancel(const Entry::caller_call& call, const responder& respond)
+{
+    if (owns(call)) {
+        storeCancel(call, respond);
+        return;
+    }
+    m_parts.intake.refresh(lookPatience, [this, call, respond](bool isConfirmed) {
+        if (owns(call))
+            storeCancel(call, respond);
+        else if (isConfirmed)
+            refuse(respond, 410, "no_such_job", call.job.value);
+        else
+            refuse(respond, 503, "view_too_old", call.job.value);
+    });
+}
+
+void caller_desk::storeCancel(const Entry::caller_call& call, const responder& respond)
+{
+    const auto state = m_parts.book.stateOf(call.job);
+    if (state && Jobs::isFinal(*state)) {
+        respond({ .status = 200, .body = m_parts.format.writeState(*state) });
+        return;
+    }
+    m_parts.appender.add({ cancelRecord(call.job) }, [this, call, respond](Records::append_outcome outcome) {
+        if (outcome == Records::append_outcome::Stored) {
+            m_parts.book.cancel(call.job);
+            Common::writeEvent(Common::log_level::Info, Common::log_category::Jobs, "cancelled",
+                { { "job", call.job.value } });
+            respond({ .status = 200, .body = m_parts.format.writeState(Jobs::job_state::Cancelled) });
+        } else if (outcome == Records::append_outcome::Refused) {
+            refuse(respond, 503, "not_stored", call.job.value);
+        } else {
+            refuse(respond, 504, "maybe_stored", call.job.value);
+        }
+    });
+}
+
+void caller_desk::tellState(const Entry::caller_call& call, const responder& respond)
+{
+    const auto tell = [this, call, respond] {
+        respond({ .status = 200, .body = m_parts.format.writeState(*m_parts.book.stateOf(call.job)) });
+    };
+    if (owns(call)) {
+        tell();
+        return;
+    }
+    m_parts.intake.refresh(lookPatience, [this, call, respond, tell](bool isConfirmed) {
+        if (owns(call))
+            tell();
+        else if (isConfirmed)
+            refuse(respond, 410, "no_such_job", call.job.value);
+        else
+            refuse(respond, 503, "view_too_old", call.job.value);
+    });
+}
+
+void caller_desk::refuse(const responder& respond, int status, const char* reason, const std::string& job) const
+{
+    m_parts.figures.add(std::string("refused_") + reason);
+    Common::writeEvent(Common::log_level::Info, Common::log_category::Requests, "refused",
+        { { "job", job }, { "reason", reason }, { "status", std::to_string(status) } });
+    EventLoop::http_response response { .status = status, .body = std::string(R"({"error":")") + reason + "\"}" };
+    if (status == 429 || status == 503)
+        response.headers.push_back({ "Retry-After", retryAfterSeconds });
+    respond(std::move(response));
+}
+
+}
--- /dev/null
+++ b/Source/Core/Station/EntryStation.cpp
@@ -0,0 +1,238 @@
+#include "Station/EntryStation.h"
+
+#include "Common/Logging.h"
+
+namespace Station {
+
+namespace {
+
+    /// Shortest time between reads of the jobs' topics, for the holder and for the others.
+    constexpr Common::millis holderGap { 15 };
+    constexpr Common::millis viewGap { 250 };
+    constexpr Common::millis workerGap { 400 };
+    constexpr Common::millis operatorGap { 20 };
+    constexpr Common::millis followWait { 1000 };
+    constexpr Common::millis jobWait { 2000 };
+    /// A view that wasn't confirmed for so long makes the instance unready.
+    constexpr Common::millis oldestReadyView { 4000 };
+    /// A submission is given up after this time, before its caller gives up.
+    constexpr Common::millis storePatience { 2300 };
+    constexpr Common::millis seatTimeToLive { 1500 };
+    /// The balancer looks once a second and takes an instance out after two misses.
+    constexpr Common::millis balancerGrace { 2500 };
+    constexpr Common::millis retirePoll { 50 };
+    /// Kept back from the grace of a stop, for the end itself.
+    constexpr Common::millis stopReserve { 700 };
+    constexpr auto seatGroup = "holders";
+    constexpr auto holderWriter = "holder";
+
+}
+
+struct entry_station::loop_timers : Records::timer_service {
+    explicit loop_timers(EventLoop::event_loop& owner)
+        : loop(owner)
+    {
+    }
+
+    void after(Common::millis delay, std::function<void()> action) override { loop.after(delay, std::move(action)); }
+    Common::instant now() const override { return Common::boot_clock::now(); }
+
+    EventLoop::event_loop& loop;
+};
+
+entry_station::entry_station(const station_settings& settings, const station_parts& parts)
+    : m_settings(settings)
+    , m_parts(parts)
+    , m_timers(std::make_unique<loop_timers>(parts.loop))
+    , m_member(settings.node + '-' + std::to_string(Common::wallNow().value))
+    , m_intakeFeed(m_book, *this)
+    , m_progressFeed(m_book)
+{
+}
+
+entry_station::~entry_station() = default;
+
+std::shared_ptr<Records::topic_follower> entry_station::follow(
+    const Records::topic_part& where, Common::millis gap, Records::record_sink& sink)
+{
+    const bool isJobs = where == m_parts.topics.intake || where == m_parts.topics.progress;
+    auto follower = std::make_shared<Records::topic_follower>(m_parts.store, *m_timers,
+        Records::follower_options { .where = where, .gap = gap, .wait = isJobs ? jobWait : followWait }, sink);
+    follower->start();
+    return follower;
+}
+
+bool entry_station::start(Records::record_sink& operatorFeed, Records::record_sink& workerFeed)
+{
+    m_operators = follow(m_parts.topics.operators, operatorGap, operatorFeed);
+    m_workerList = follow(m_parts.topics.workers, workerGap, workerFeed);
+    m_intake = follow(m_parts.topics.intake, viewGap, m_intakeFeed);
+    m_progress = follow(m_parts.topics.progress, viewGap, m_progressFeed);
+    m_appender = std::make_shared<Records::batch_appender>(m_parts.store, *m_timers,
+        Records::appender_options {
+            .where = m_parts.topics.intake, .writer = m_member, .giveUpAfter = storePatience });
+    m_desk = std::make_unique<caller_desk>(caller_desk_parts { .timers = *m_timers,
+        .book = m_book,
+        .operators = *m_operators,
+        .intake = *m_intake,
+        .appender = *m_appender,
+        .format = m_parts.format,
+        .figures = m_figures });
+    m_seat = std::make_shared<holder_seat>(m_parts.store, *m_timers,
+        seat_options { .member = m_member,
+            .group = seatGroup,
+            .progressTopic = m_parts.topics.progress,
+            .writer = holderWriter,
+            .timeToLive = std::max(seatTimeToLive, m_settings.shortestMembership) },
+        *m_progress, m_progressFeed);
+    m_callers = std::make_unique<EventLoop::http_listener>(m_parts.loop, m_settings.callers,
+        EventLoop::listener_limits {}, [this](const EventLoop::http_request& request, const EventLoop::responder& respond) {
+            m_desk->handle(request, respond);
+        });
+    m_readiness = std::make_unique<EventLoop::http_listener>(m_parts.loop, m_settings.readiness,
+        EventLoop::listener_limits {}, [this](const EventLoop::http_request& request, const EventLoop::responder& respond) {
+            answerReadiness(request, respond);
+        });
+    if (!m_callers->start() || !m_readiness->start())
+        return false;
+    m_seat->start([this](const won_seat& won) { beginTenure(won); }, [this] { endTenure(); });
+    return true;
+}
+
+bool entry_station::isReady() const
+{
+    const auto confirmed = m_operators->confirmedAt();
+    return !m_isRetiring && m_desk->hasRules() && m_intake->isFollowing() && m_progress->isFollowing() && confirmed
+        && m_timers->now() - *confirmed < oldestReadyView;
+}
+
+void entry_station::answerReadiness(
+    const EventLoop::http_request& request, const EventLoop::responder& respond) const
+{
+    if (request.target != m_parts.readinessPath) {
+        respond({ .status = 404 });
+        return;
+    }
+    respond({ .status = isReady() ? 200 : 503 });
+}
+
+void entry_station::beginTenure(const won_seat& won)
+{
+    m_intake->setGap(holderGap);
+    // Jobs that an earlier holder may have started must be known before its workers are looked at.
+    m_intake->refresh(Common::millis(2000), [this, won](bool isRead) {
+        if (!isRead || !m_seat->isConfirmed() || !m_rules) {
+            endTenure();
+            return;
+        }
+        m_run = std::make_shared<holder_run>(holder_parts { .store = m_parts.store,
+                                                 .timers = *m_timers,
+                                                 .workers = m_parts.workers,
+                                                 .book = m_book,
+                                                 .figures = m_figures },
+            holder_tenure { .token = { won.token },
+                .number = won.number,
+                .progressTopic = m_parts.topics.progress,
+                .writer = holderWriter,
+                .stopTime = m_settings.stopTime });
+        fillTenure(m_run);
+    });
+}
+
+void entry_station::fillTenure(const std::shared_ptr<holder_run>& run)
+{
+    run->setRules(*m_rules);
+    run->setEvacuated(m_evacuated);
+    for (const auto& [id, worker] : m_workers)
+        run->workerListed(worker);
+    run->start([this] { return m_seat->isConfirmed(); }, [this] { endTenure(); });
+}
+
+void entry_station::endTenure()
+{
+    if (m_run)
+        m_run->stop();
+    m_run.reset();
+    m_intake->setGap(viewGap);
+    m_seat->vacate();
+}
+
+void entry_station::retire()
+{
+    if (m_isRetiring)
+        return;
+    m_isRetiring = true;
+    m_retiringSince = m_timers->now();
+    Common::writeEvent(Common::log_level::Info, Common::log_category::Daemon, "retiring", {});
+    endTenure();
+    m_seat->leave([] { });
+    finishRetiring();
+}
+
+void entry_station::finishRetiring()
+{
+    const auto now = m_timers->now();
+    const bool isOutOfRotation = now >= m_retiringSince + balancerGrace;
+    if (isOutOfRotation)
+        m_callers->drain();
+    const bool isServed = isOutOfRotation && m_callers->openRequests() == 0;
+    if (isServed || now >= m_retiringSince + m_settings.stopGrace - stopReserve) {
+        Common::writeEvent(Common::log_level::Info, Common::log_category::Daemon, "left",
+            { { "open_requests", std::to_string(m_callers->openRequests()) } });
+        m_parts.loop.stop();
+        return;
+    }
+    m_timers->after(retirePoll, [this] { finishRetiring(); });
+}
+
+void entry_station::rulesChanged(const Rules::fleet_rules& rules)
+{
+    m_rules = rules;
+    m_desk->setRules(rules);
+    Common::writeEvent(Common::log_level::Info, Common::log_category::Daemon, "rules_in_force",
+        { { "version", std::to_string(rules.version) } });
+    if (m_run)
+        m_run->setRules(rules);
+}
+
+void entry_station::evacuationsChanged(const std::set<Common::data_centre_id>& zones)
+{
+    if (zones == m_evacuated)
+        return;
+    m_evacuated = zones;
+    for (const auto& zone : zones)
+        Common::writeEvent(
+            Common::log_level::Info, Common::log_category::Daemon, "evacuated", { { "data_centre", zone.value } });
+    if (m_run)
+        m_run->setEvacuated(zones);
+}
+
+void entry_station::wavesChanged(const std::map<std::int64_t, Rules::upkeep_wave>&) { }
+
+void entry_station::workerListed(const Dispatch::worker_entry& worker)
+{
+    m_workers[worker.id] = worker;
+    if (m_run)
+        m_run->workerListed(worker);
+}
+
+void entry_station::workerUnlisted(const Common::worker_id& id)
+{
+    m_workers.erase(id);
+    if (m_run)
+        m_run->workerUnlisted(id);
+}
+
+void entry_station::jobAccepted(const Common::job_id& id)
+{
+    if (m_run)
+        m_run->jobAccepted(id);
+}
+
+void entry_station::jobCancelled(const Common::job_id& id)
+{
+    if (m_run)
+        m_run->jobCancelled(id);
+}
+
+}
--- /dev/null
+++ b/Source/Core/Station/EntryStation.h
@@ -0,0 +1,88 @@
+#pragma once
+
+#include "EventLoop/EventLoop.h"
+#include "EventLoop/HttpListener.h"
+#include "Station/CallerDesk.h"
+#include "Station/Feeds.h"
+#include "Station/HolderRun.h"
+#include "Station/HolderSeat.h"
+#include "Station/StationSettings.h"
+
+namespace Station {
+
+struct station_topics {
+    Records::topic_part operators;
+    Records::topic_part workers;
+    Records::topic_part intake;
+    Records::topic_part progress;
+};
+
+/// What the station needs of the platform.
+struct station_parts {
+    EventLoop::event_loop& loop;
+    Records::record_store& store;
+    Dispatch::worker_gateway& workers;
+    const caller_format& format;
+    station_topics topics;
+    std::string readinessPath;
+};
+
+/// One entry instance: serves callers, follows the store, and takes the holder's seat when it is dealt to it.
+class entry_station : public operator_listener, public worker_listener, public job_listener {
+public:
+    entry_station(const station_settings&, const station_parts&);
+    ~entry_station() override;
+    entry_station(const entry_station&) = delete;
+    entry_station& operator=(const entry_station&) = delete;
+
+    /// False when an address can't be bound.
+    bool start(Records::record_sink& operatorFeed, Records::record_sink& workerFeed);
+    /// Planned stop: unready, hands the seat back, serves what is open, then stops the loop.
+    void retire();
+
+    void rulesChanged(const Rules::fleet_rules&) override;
+    void evacuationsChanged(const std::set<Common::data_centre_id>&) override;
+    void wavesChanged(const std::map<std::int64_t, Rules::upkeep_wave>&) override;
+    void workerListed(const Dispatch::worker_entry&) override;
+    void workerUnlisted(const Common::worker_id&) override;
+    void jobAccepted(const Common::job_id&) override;
+    void jobCancelled(const Common::job_id&) override;
+
+private:
+    struct loop_timers;
+
+    bool isReady() const;
+    void answerReadiness(const EventLoop::http_request&, const EventLoop::responder&) const;
+    void beginTenure(const won_seat&);
+    void fillTenure(const std::shared_ptr<holder_run>&);
+    void endTenure();
+    void finishRetiring();
+    std::shared_ptr<Records::topic_follower> follow(
+        const Records::topic_part&, Common::millis gap, Records::record_sink&);
+
+    station_settings m_settings;
+    station_parts m_parts;
+    std::unique_ptr<loop_timers> m_timers;
+    std::string m_member;
+    Jobs::job_book m_book;
+    counters m_figures;
+    intake_feed m_intakeFeed;
+    progress_feed m_progressFeed;
+    std::shared_ptr<Records::topic_follower> m_operators;
+    std::shared_ptr<Records::topic_follower> m_workerList;
+    std::shared_ptr<Records::topic_follower> m_intake;
+    std::shared_ptr<Records::topic_follower> m_progress;
+    std::shared_ptr<Records::batch_appender> m_appender;
+    std::shared_ptr<holder_seat> m_seat;
+    std::shared_ptr<holder_run> m_run;
+    std::unique_ptr<caller_desk> m_desk;
+    std::unique_ptr<EventLoop::http_listener> m_callers;
+    std::unique_ptr<EventLoop::http_listener> m_readiness;
+    std::optional<Rules::fleet_rules> m_rules;
+    std::set<Common::data_centre_id> m_evacuated;
+    std::map<Common::worker_id, Dispatch::worker_entry> m_workers;
+    bool m_isRetiring { false };
+    Common::instant m_retiringSince;
+};
+
+}
--- /dev/null
+++ b/Source/Core/Station/Feeds.h
@@ -0,0 +1,28 @@
+#pragma once
+
+#include "Dispatch/Orders.h"
+#include "Rules/FleetRules.h"
+
+#include <map>
+#include <set>
+
+namespace Station {
+
+/// Takes what operators have put into the store.
+class operator_listener {
+public:
+    virtual ~operator_listener() = default;
+    virtual void rulesChanged(const Rules::fleet_rules&) = 0;
+    virtual void evacuationsChanged(const std::set<Common::data_centre_id>&) = 0;
+    virtual void wavesChanged(const std::map<std::int64_t, Rules::upkeep_wave>&) = 0;
+};
+
+/// Takes the register of workers.
+class worker_listener {
+public:
+    virtual ~worker_listener() = default;
+    virtual void workerListed(const Dispatch::worker_entry&) = 0;
+    virtual void workerUnlisted(const Common::worker_id&) = 0;
+};
+
+}
--- /dev/null
+++ b/Source/Core/Station/HolderRun.h
@@ -0,0 +1,77 @@
+#pragma once
+
+#include "Dispatch/Dispatcher.h"
+#include "Dispatch/WorkerGateway.h"
+#include "Jobs/JobBook.h"
+#include "Records/BatchAppender.h"
+#include "Station/Counters.h"
+
+#include <memory>
+
+namespace Station {
+
+struct holder_parts {
+    Records::record_store& store;
+    Records::timer_service& timers;
+    Dispatch::worker_gateway& workers;
+    Jobs::job_book& book;
+    counters& figures;
+};
+
+struct holder_tenure {
+    /// Offset of the claim and one more: higher than that of any holder before.
+    Dispatch::fencing_token token;
+    /// Number of the claim, counted from 1.
+    std::int64_t number { 1 };
+    Records::topic_part progressTopic;
+    std::string writer;
+    Common::millis stopTime { 200 };
+};
+
+/// One tenure of the holder: feeds the dispatcher, carries its orders out, and stores its progress.
+class holder_run : public Dispatch::dispatch_observer, public std::enable_shared_from_this<holder_run> {
+public:
+    holder_run(const holder_parts&, const holder_tenure&);
+
+    /// `isConfirmed` tells whether no other holder can have taken over yet.
+    void start(std::function<bool()> isConfirmed, std::function<void()> onLost);
+    /// Gives no more orders. What runs goes on under its leases.
+    void stop();
+    bool isOver() const { return m_isOver; }
+    /// Everything decided so far stands in the log.
+    bool isSettled() const { return m_commitsOpen == 0; }
+
+    void setRules(const Rules::fleet_rules&);
+    void setEvacuated(const std::set<Common::data_centre_id>&);
+    void workerListed(const Dispatch::worker_entry&);
+    void workerUnlisted(const Common::worker_id&);
+    void jobAccepted(const Common::job_id&);
+    void jobCancelled(const Common::job_id&);
+    Dispatch::dispatcher& decisions() { return m_dispatcher; }
+
+    void observe(const Dispatch::dispatch_event&) override;
+
+private:
+    void beat();
+    void wake();
+    void turn();
+    void carryOut(const Dispatch::dispatch_orders&);
+    void sendStart(const Dispatch::start_order&);
+    void sendStop(const Dispatch::stop_order&);
+    void sendHold(const Dispatch::hold_order&);
+    void sendPace(const Dispatch::pace_order&);
+    void flush();
+    void lose(const char* why);
+
+    holder_parts m_parts;
+    holder_tenure m_tenure;
+    Dispatch::dispatcher m_dispatcher;
+    std::shared_ptr<Records::batch_appender> m_appender;
+    std::function<bool()> m_isConfirmed;
+    std::function<void()> m_onLost;
+    int m_commitsOpen { 0 };
+    bool m_isTurnDue { false };
+    bool m_isOver { false };
+};
+
+}
--- /dev/null
+++ b/Source/Core/Station/JobFeeds.cpp
@@ -0,0 +1,94 @@
+#include "Station/JobFeeds.h"
+
+#include "Common/JsonFields.h"
+#include "Common/Logging.h"
+#include "Jobs/JobCodec.h"
+
+namespace Station {
+
+namespace {
+
+    /// Before the identifier of a job, in the key of its cancellation.
+    constexpr char cancelMark = '~';
+    constexpr auto claimKey = "@holder";
+
+    void reportUnreadable(const char* what, const Records::keyed_record& record)
+    {
+        Common::writeEvent(Common::log_level::Error, Common::log_category::Store, "record_unreadable",
+            { { "what", what }, { "key", record.key }, { "offset", std::to_string(record.offset.value) } });
+    }
+
+}
+
+Records::keyed_record jobRecord(const Jobs::job_record& job)
+{
+    return { .key = job.id.value, .value = Jobs::encodeJob(job) };
+}
+
+Records::keyed_record cancelRecord(const Common::job_id& id) { return { .key = cancelMark + id.value, .value = "1" }; }
+
+Records::keyed_record progressRecord(const Jobs::job_progress& progress)
+{
+    return { .key = progress.job.value, .value = Jobs::encodeProgress(progress) };
+}
+
+Records::keyed_record claimRecord(const claim_record& claim)
+{
+    return { .key = claimKey,
+        .value = Common::writeJson({ { "member", claim.member }, { "number", claim.number } }) };
+}
+
+intake_feed::intake_feed(Jobs::job_book& book, job_listener& listener)
+    : m_book(book)
+    , m_listener(listener)
+{
+}
+
+void intake_feed::apply(const Records::keyed_record& record)
+{
+    if (record.key.starts_with(cancelMark)) {
+        const Common::job_id id { record.key.substr(1) };
+        if (record.value.empty())
+            return;
+        m_book.cancel(id);
+        m_listener.jobCancelled(id);
+        return;
+    }
+    if (record.value.empty()) {
+        m_book.forget({ record.key });
+        return;
+    }
+    auto job = Jobs::decodeJob(record.value);
+    if (!job) {
+        reportUnreadable("job", record);
+        return;
+    }
+    const auto id = job->id;
+    m_book.accept(std::move(*job));
+    m_listener.jobAccepted(id);
+}
+
+progress_feed::progress_feed(Jobs::job_book& book)
+    : m_book(book)
+{
+}
+
+void progress_feed::apply(const Records::keyed_record& record)
+{
+    if (record.key == claimKey) {
+        const auto claim = Common::parseJson(record.value);
+        if (claim && claim->is_object())
+            m_claim = { .member = claim->value("member", std::string()),
+                .number = claim->value("number", std::int64_t { 0 }) };
+        return;
+    }
+    if (record.value.empty())
+        return;
+    auto progress = Jobs::decodeProgress({ record.key }, record.value);
+    if (progress)
+        m_book.advance(std::move(*progress));
+    else
+        reportUnreadable("progress", record);
+}
+
+}
--- /dev/null
+++ b/Source/Core/Station/JobFeeds.h
@@ -0,0 +1,57 @@
+#pragma once
+
+#include "Jobs/JobBook.h"
+#include "Records/TopicFollower.h"
+
+namespace Station {
+
+/// Who took the holder's seat, and how often it was taken before.
+struct claim_record {
+    std::string member;
+    std::int64_t number { 0 };
+};
+
+/// Records of the two topics of jobs.
+Records::keyed_record jobRecord(const Jobs::job_record&);
+Records::keyed_record cancelRecord(const Common::job_id&);
+Records::keyed_record progressRecord(const Jobs::job_progress&);
+Records::keyed_record claimRecord(const claim_record&);
+
+/// Takes word of jobs as their records are read.
+class job_listener {
+public:
+    virtual ~job_listener() = default;
+    virtual void jobAccepted(const Common::job_id&) = 0;
+    virtual void jobCancelled(const Common::job_id&) = 0;
+};
+
+/// Reads accepted jobs and cancellations into the book.
+class intake_feed : public Records::record_sink {
+public:
+    intake_feed(Jobs::job_book&, job_listener&);
+
+    // The book only grows, so reading it again from the newest records changes nothing.
+    void restart() override { }
+    void apply(const Records::keyed_record&) override;
+
+private:
+    Jobs::job_book& m_book;
+    job_listener& m_listener;
+};
+
+/// Reads the progress of jobs, and claims of the holder's seat.
+class progress_feed : public Records::record_sink {
+public:
+    explicit progress_feed(Jobs::job_book&);
+
+    void restart() override { }
+    void apply(const Records::keyed_record&) override;
+    /// The newest claim.
+    const claim_record& claim() const { return m_claim; }
+
+private:
+    Jobs::job_book& m_book;
+    claim_record m_claim;
+};
+
+}
--- a/Source/Daemon/Main.cpp
+++ b/Source/Daemon/Main.cpp
@@ -1,6 +1,8 @@
 #include "Common/Logging.h"
 #include "Node/Daemon.h"
 #include "Settings/Settings.h"
+#include "platform/NodeSettings.h"
+#include "platform/PlatformNode.h"
 
 #include <csignal>
 #include <fstream>
@@ -11,6 +13,7 @@
 
 // NOLINTBEGIN(readability-identifier-naming)
 DEFINE_string(settings, "", "settings file in TOML; docs/SETTINGS.md lists the keys");
+DEFINE_bool(platform, false, "run on the users' platform, with the settings file that it lays");
 DEFINE_bool(check, false, "check the settings, report every fault, and exit");
 // NOLINTEND(readability-identifier-naming)
 
@@ -53,6 +56,26 @@
     sigwait(&signals, &received);
 }
 
+int serveOnPlatform()
+{
+    const auto result = Platform::loadNodeSettings();
+    if (!result.settings) {
+        std::cerr << "loftd: " << Platform::toText(result.error) << ": " << result.subject << '\n';
+        return finish(exit_code::BadSettings);
+    }
+    if (FLAGS_check) {
+        std::cout << "settings are in order\n";
+        return finish(exit_code::Clean);
+    }
+    std::signal(SIGPIPE, SIG_IGN);
+    Common::startLogging(Common::log_level::Info, result.settings->node, Common::log_output::StandardOutput);
+    Common::writeEvent(Common::log_level::Info, Common::log_category::Daemon, "started", {});
+    if (Platform::runNode(*result.settings))
+        return finish(exit_code::Clean);
+    Common::writeEvent(Common::log_level::Error, Common::log_category::Daemon, "address_not_bound", {});
+    return finish(exit_code::AddressInUse);
+}
+
 int serve(const Settings::daemon_settings& settings)
 {
     sigset_t signals;
@@ -79,8 +102,13 @@
 int main(int argc, char** argv)
 {
     gflags::SetUsageMessage("loftd --settings=FILE [--check]\n"
+                            "loftd --platform [--check]\n"
                             "Exit codes: 0 clean stop, 1 stopped with work running, 2 bad settings, 3 address in use.");
     gflags::ParseCommandLineFlags(&argc, &argv, true);
+    if (sodium_init() < 0)
+        return finish(exit_code::NotClean);
+    if (FLAGS_platform)
+        return serveOnPlatform();
     const auto text = readFile(FLAGS_settings);
     if (!text) {
         std::cerr << "loftd: can't read the settings file '" << FLAGS_settings << "'\n";
@@ -96,7 +124,5 @@
         std::cout << "settings are in order\n";
         return finish(exit_code::Clean);
     }
-    if (sodium_init() < 0)
-        return finish(exit_code::NotClean);
     return serve(*settings);
 }
