Waves of upkeep are done in time, and pools follow demand

Change: Capacity plans upkeeps (idle instances first, a few emptied at a time within disruption budgets) and pool sizes (tasks that run, wait or come next, one in reserve); the holder carries the orders out under its token and keeps what a wave has begun in the log.

--- /dev/null
+++ b/Source/Core/Capacity/CapacityPlanner.cpp
@@ -0,0 +1,54 @@
+#include "Capacity/CapacityPlanner.h"
+
+namespace Capacity {
+
+capacity_planner::capacity_planner(const sizer_options& options)
+    : m_sizer(options)
+{
+}
+
+void capacity_planner::setWaves(const std::map<std::int64_t, Rules::upkeep_wave>& waves, Common::instant now)
+{
+    m_waves.setWaves(waves, now);
+}
+
+void capacity_planner::onList(const std::vector<instance_entry>& list, Common::instant began)
+{
+    m_book.update(list, began);
+}
+
+capacity_orders capacity_planner::plan(Dispatch::dispatcher& dispatcher, Common::instant now)
+{
+    capacity_orders orders;
+    m_waves.plan(m_book, dispatcher, now, orders);
+    repeatUnsettledMoves(now, orders);
+    m_sizer.plan(m_rules, m_book, dispatcher, now, orders);
+    return orders;
+}
+
+void capacity_planner::repeatUnsettledMoves(Common::instant now, capacity_orders& orders)
+{
+    for (auto& [id, record] : m_book.all()) {
+        if (!record.isUnsettled || !record.move || record.isOrderOpen || now < record.notBefore)
+            continue;
+        record.isOrderOpen = true;
+        record.changedAt = now;
+        orders.moves.push_back(*record.move);
+    }
+}
+
+void capacity_planner::onMove(
+    const move_order& order, instance_outcome outcome, Dispatch::dispatcher& dispatcher, Common::instant now)
+{
+    m_sizer.onMove(m_book, order, outcome, now);
+    const auto* record = m_book.find(order.instance);
+    if (record && !record->move && outcome != instance_outcome::Done)
+        dispatcher.setCordoned(record->entry.worker, false);
+}
+
+void capacity_planner::onUpkeep(const upkeep_order& order, instance_outcome outcome, Common::instant now)
+{
+    m_waves.onUpkeep(m_book, order, outcome, now);
+}
+
+}
--- /dev/null
+++ b/Source/Core/Capacity/CapacityPlanner.h
@@ -0,0 +1,33 @@
+#pragma once
+
+#include "Capacity/PoolSizer.h"
+#include "Capacity/WavePlanner.h"
+
+namespace Capacity {
+
+/// The holder's decisions about instances: waves of upkeep first, then the sizes of the pools.
+class capacity_planner {
+public:
+    explicit capacity_planner(const sizer_options&);
+
+    void setRules(const Rules::fleet_rules& rules) { m_rules = rules; }
+    void setWaves(const std::map<std::int64_t, Rules::upkeep_wave>&, Common::instant now);
+    void restore(const wave_status& status) { m_waves.restore(status); }
+    void onList(const std::vector<instance_entry>&, Common::instant began);
+    capacity_orders plan(Dispatch::dispatcher&, Common::instant now);
+    void onMove(const move_order&, instance_outcome, Dispatch::dispatcher&, Common::instant now);
+    void onUpkeep(const upkeep_order&, instance_outcome, Common::instant now);
+    std::vector<wave_status> takeChanges() { return m_waves.takeChanges(); }
+    /// Something is under way, so that the list is worth reading again soon.
+    bool isChanging() const { return m_book.hasOpenOrders(); }
+
+private:
+    void repeatUnsettledMoves(Common::instant now, capacity_orders&);
+
+    Rules::fleet_rules m_rules;
+    instance_book m_book;
+    wave_planner m_waves;
+    pool_sizer m_sizer;
+};
+
+}
--- /dev/null
+++ b/Source/Core/Capacity/InstanceBook.cpp
@@ -0,0 +1,49 @@
+#include "Capacity/InstanceBook.h"
+
+#include <algorithm>
+
+namespace Capacity {
+
+void instance_book::update(const std::vector<instance_entry>& list, Common::instant began)
+{
+    m_hasList = true;
+    std::map<Common::instance_id, instance_record> updated;
+    for (const auto& entry : list) {
+        auto& record = updated[entry.id];
+        const auto known = m_instances.find(entry.id);
+        if (known != m_instances.end())
+            record = known->second;
+        const bool isNewer = record.changedAt < began && !record.isOrderOpen;
+        if (known == m_instances.end() || isNewer)
+            record.entry = entry;
+    }
+    for (const auto& [id, record] : m_instances) {
+        if (record.isOrderOpen)
+            updated.emplace(id, record);
+    }
+    m_instances = std::move(updated);
+}
+
+instance_record* instance_book::find(const Common::instance_id& id)
+{
+    const auto found = m_instances.find(id);
+    return found == m_instances.end() ? nullptr : &found->second;
+}
+
+bool instance_book::hasOpenOrders() const
+{
+    return std::any_of(m_instances.begin(), m_instances.end(), [](const auto& entry) {
+        const auto& record = entry.second;
+        return record.isOrderOpen || record.isUnsettled || record.entry.state != instance_state::Up;
+    });
+}
+
+bool isIdle(const instance_record& record, const Dispatch::dispatcher& dispatcher)
+{
+    if (record.entry.worker.empty())
+        return true;
+    const auto worker = dispatcher.workers().find(record.entry.worker);
+    return worker != dispatcher.workers().end() && worker->second.isInventoried && worker->second.runs.empty();
+}
+
+}
--- a/Source/Core/Dispatch/Dispatcher.cpp
+++ b/Source/Core/Dispatch/Dispatcher.cpp
@@ -56,6 +56,12 @@
         found->second.isListed = false;
 }
 
+bool dispatcher::isCordoned(const Common::worker_id& id) const
+{
+    const auto found = m_workers.find(id);
+    return found != m_workers.end() && found->second.isCordoned;
+}
+
 void dispatcher::setCordoned(const Common::worker_id& id, bool isCordoned)
 {
     const auto found = m_workers.find(id);
@@ -370,8 +376,6 @@
         if (worker.entry.pool != pool)
             continue;
         demand.running += worker.used();
-        if (worker.isListed && !worker.entry.isDraining)
-            demand.capacity += worker.entry.capacity;
     }
     for (const auto& [id, job] : m_jobs) {
         const auto* queue = queueOf(*job);
@@ -381,10 +385,11 @@
             for (std::size_t step = 0; step < occurrence.steps.size(); ++step) {
                 const auto& state = occurrence.steps[step];
                 const auto& spec = job->record().spec.steps[step];
-                if (spec.isFiller || !job->isReady(occurrence, static_cast<int>(step)))
+                if (spec.isFiller)
                     continue;
                 const auto open = static_cast<std::int64_t>(state.tasks.size()) - state.done - state.placed;
-                demand.waiting += Jobs::times(spec.request, open);
+                auto& part = job->isReady(occurrence, static_cast<int>(step)) ? demand.waiting : demand.later;
+                part += Jobs::times(spec.request, open);
             }
         }
     }
--- a/Source/Core/Dispatch/Dispatcher.h
+++ b/Source/Core/Dispatch/Dispatcher.h
@@ -73,9 +73,10 @@
 struct pool_demand {
     /// Asked for by tasks that are ready and wait.
     Jobs::resources waiting;
+    /// Asked for by tasks whose turn hasn't come.
+    Jobs::resources later;
     /// Taken by tasks on workers, fillers aside.
     Jobs::resources running;
-    Jobs::resources capacity;
 };
 
 /// Holder's decisions for the workers and jobs of its pools. Free of threads, sockets and clocks: replies
@@ -88,6 +89,8 @@
     void setEvacuated(std::set<Common::data_centre_id>);
     void workerListed(const worker_entry&, Common::instant now);
     void workerUnlisted(const Common::worker_id&);
+    bool isEvacuated(const Common::data_centre_id& zone) const { return m_evacuated.contains(zone); }
+    bool isCordoned(const Common::worker_id&) const;
     void setCordoned(const Common::worker_id&, bool);
     void addJob(const Jobs::job_record&, const Jobs::job_progress&, Common::instant now);
     void cancelJob(const Common::job_id&);
--- a/Source/Core/Station/EntryStation.cpp
+++ b/Source/Core/Station/EntryStation.cpp
@@ -76,7 +76,7 @@
         .operators = *m_operators,
         .intake = *m_intake,
         .appender = *m_appender,
-        .format = m_parts.format,
+        .format = m_parts.callerFormat,
         .figures = m_figures });
     m_seat = std::make_shared<holder_seat>(m_parts.store, *m_timers,
         seat_options { .member = m_member,
@@ -128,11 +128,14 @@
         m_run = std::make_shared<holder_run>(holder_parts { .store = m_parts.store,
                                                  .timers = *m_timers,
                                                  .workers = m_parts.workers,
+                                                 .instances = m_parts.instances,
+                                                 .operatorFormat = m_parts.operatorFormat,
                                                  .book = m_book,
                                                  .figures = m_figures },
             holder_tenure { .token = { won.token },
                 .number = won.number,
                 .progressTopic = m_parts.topics.progress,
+                .statusTopic = m_parts.topics.status,
                 .writer = holderWriter,
                 .stopTime = m_settings.stopTime });
         fillTenure(m_run);
@@ -143,9 +146,10 @@
 {
     run->setRules(*m_rules);
     run->setEvacuated(m_evacuated);
+    run->setWaves(m_waves);
     for (const auto& [id, worker] : m_workers)
         run->workerListed(worker);
-    run->start([this] { return m_seat->isConfirmed(); }, [this] { endTenure(); });
+    run->start(m_progressFeed.waves(), [this] { return m_seat->isConfirmed(); }, [this] { endTenure(); });
 }
 
 void entry_station::endTenure()
@@ -207,7 +211,12 @@
         m_run->setEvacuated(zones);
 }
 
-void entry_station::wavesChanged(const std::map<std::int64_t, Rules::upkeep_wave>&) { }
+void entry_station::wavesChanged(const std::map<std::int64_t, Rules::upkeep_wave>& waves)
+{
+    m_waves = waves;
+    if (m_run)
+        m_run->setWaves(waves);
+}
 
 void entry_station::workerListed(const Dispatch::worker_entry& worker)
 {
--- a/Source/Core/Station/EntryStation.h
+++ b/Source/Core/Station/EntryStation.h
@@ -13,6 +13,7 @@
 struct station_topics {
     Records::topic_part operators;
     Records::topic_part workers;
+    Records::topic_part status;
     Records::topic_part intake;
     Records::topic_part progress;
 };
@@ -22,7 +23,10 @@
     EventLoop::event_loop& loop;
     Records::record_store& store;
     Dispatch::worker_gateway& workers;
-    const caller_format& format;
+    /// Null when instances can't be moved or maintained.
+    Capacity::instance_gateway* instances { nullptr };
+    const caller_format& callerFormat;
+    const operator_format& operatorFormat;
     station_topics topics;
     std::string readinessPath;
 };
@@ -80,6 +84,7 @@
     std::unique_ptr<EventLoop::http_listener> m_readiness;
     std::optional<Rules::fleet_rules> m_rules;
     std::set<Common::data_centre_id> m_evacuated;
+    std::map<std::int64_t, Rules::upkeep_wave> m_waves;
     std::map<Common::worker_id, Dispatch::worker_entry> m_workers;
     bool m_isRetiring { false };
     Common::instant m_retiringSince;
--- a/Source/Core/Station/Feeds.h
+++ b/Source/Core/Station/Feeds.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "Dispatch/Orders.h"
+#include "Records/RecordStore.h"
 #include "Rules/FleetRules.h"
 
 #include <map>
@@ -17,6 +18,13 @@
     virtual void wavesChanged(const std::map<std::int64_t, Rules::upkeep_wave>&) = 0;
 };
 
+/// What operators read.
+class operator_format {
+public:
+    virtual ~operator_format() = default;
+    virtual Records::keyed_record waveStatus(std::int64_t wave, bool isCompleted) const = 0;
+};
+
 /// Takes the register of workers.
 class worker_listener {
 public:
--- a/Source/Core/Station/HolderRun.cpp
+++ b/Source/Core/Station/HolderRun.cpp
@@ -126,9 +126,22 @@
               .sequence = 1,
               .gap = commitGap }))
 {
+    if (!parts.instances)
+        return;
+    const fleet_parts fleet { .store = parts.store,
+        .timers = parts.timers,
+        .instances = *parts.instances,
+        .format = parts.operatorFormat,
+        .statusTopic = tenure.statusTopic,
+        .figures = parts.figures };
+    m_fleet = std::make_shared<fleet_run>(fleet, tenure.token, m_dispatcher,
+        [this](const Capacity::wave_status& status, const std::function<void()>& onStored) {
+            keepWave(status, onStored);
+        });
 }
 
-void holder_run::start(std::function<bool()> isConfirmed, std::function<void()> onLost)
+void holder_run::start(const std::map<std::int64_t, Capacity::wave_status>& waves,
+    std::function<bool()> isConfirmed, std::function<void()> onLost)
 {
     m_isConfirmed = std::move(isConfirmed);
     m_onLost = std::move(onLost);
@@ -142,12 +155,16 @@
         m_dispatcher.addJob(*job->record, job->progress, now);
         m_dispatcher.cancelJob(id);
     }
+    if (m_fleet)
+        m_fleet->start(waves);
     beat();
 }
 
 void holder_run::stop()
 {
     m_isOver = true;
+    if (m_fleet)
+        m_fleet->stop();
     m_appender->stop();
 }
 
@@ -164,6 +181,8 @@
 void holder_run::setRules(const Rules::fleet_rules& rules)
 {
     m_dispatcher.setRules(rules);
+    if (m_fleet)
+        m_fleet->setRules(rules);
     wake();
 }
 
@@ -173,6 +192,22 @@
     wake();
 }
 
+void holder_run::setWaves(const std::map<std::int64_t, Rules::upkeep_wave>& waves)
+{
+    if (m_fleet)
+        m_fleet->setWaves(waves);
+}
+
+void holder_run::keepWave(const Capacity::wave_status& status, const std::function<void()>& onStored)
+{
+    m_appender->add({ waveRecord(status) }, [self = shared_from_this(), onStored](Records::append_outcome outcome) {
+        if (outcome == Records::append_outcome::Stored)
+            onStored();
+        else
+            self->lose("fenced_by_store");
+    });
+}
+
 void holder_run::workerListed(const Dispatch::worker_entry& entry)
 {
     m_dispatcher.workerListed(entry, m_parts.timers.now());
@@ -220,7 +255,11 @@
 
 void holder_run::turn()
 {
-    carryOut(m_dispatcher.plan(m_parts.timers.now(), Common::wallNow(), m_isConfirmed()));
+    const bool isConfirmed = m_isConfirmed();
+    // Instances go first: a worker that is about to leave gets no more starts.
+    if (m_fleet)
+        m_fleet->turn(isConfirmed);
+    carryOut(m_dispatcher.plan(m_parts.timers.now(), Common::wallNow(), isConfirmed));
     flush();
     if (m_dispatcher.isFenced())
         lose("fenced_by_worker");
--- a/Source/Core/Station/HolderRun.h
+++ b/Source/Core/Station/HolderRun.h
@@ -5,6 +5,7 @@
 #include "Jobs/JobBook.h"
 #include "Records/BatchAppender.h"
 #include "Station/Counters.h"
+#include "Station/FleetRun.h"
 
 #include <memory>
 
@@ -14,6 +15,9 @@
     Records::record_store& store;
     Records::timer_service& timers;
     Dispatch::worker_gateway& workers;
+    /// Null when instances can't be moved or maintained.
+    Capacity::instance_gateway* instances { nullptr };
+    const operator_format& operatorFormat;
     Jobs::job_book& book;
     counters& figures;
 };
@@ -24,6 +28,7 @@
     /// Number of the claim, counted from 1.
     std::int64_t number { 1 };
     Records::topic_part progressTopic;
+    Records::topic_part statusTopic;
     std::string writer;
     Common::millis stopTime { 200 };
 };
@@ -34,7 +39,8 @@
     holder_run(const holder_parts&, const holder_tenure&);
 
     /// `isConfirmed` tells whether no other holder can have taken over yet.
-    void start(std::function<bool()> isConfirmed, std::function<void()> onLost);
+    void start(const std::map<std::int64_t, Capacity::wave_status>& waves, std::function<bool()> isConfirmed,
+        std::function<void()> onLost);
     /// Gives no more orders. What runs goes on under its leases.
     void stop();
     bool isOver() const { return m_isOver; }
@@ -43,11 +49,11 @@
 
     void setRules(const Rules::fleet_rules&);
     void setEvacuated(const std::set<Common::data_centre_id>&);
+    void setWaves(const std::map<std::int64_t, Rules::upkeep_wave>&);
     void workerListed(const Dispatch::worker_entry&);
     void workerUnlisted(const Common::worker_id&);
     void jobAccepted(const Common::job_id&);
     void jobCancelled(const Common::job_id&);
-    Dispatch::dispatcher& decisions() { return m_dispatcher; }
 
     void observe(const Dispatch::dispatch_event&) override;
 
@@ -60,6 +66,7 @@
     void sendStop(const Dispatch::stop_order&);
     void sendHold(const Dispatch::hold_order&);
     void sendPace(const Dispatch::pace_order&);
+    void keepWave(const Capacity::wave_status&, const std::function<void()>& onStored);
     void flush();
     void lose(const char* why);
 
@@ -67,6 +74,8 @@
     holder_tenure m_tenure;
     Dispatch::dispatcher m_dispatcher;
     std::shared_ptr<Records::batch_appender> m_appender;
+    /// Empty when instances can't be moved or maintained.
+    std::shared_ptr<fleet_run> m_fleet;
     std::function<bool()> m_isConfirmed;
     std::function<void()> m_onLost;
     int m_commitsOpen { 0 };
--- a/Source/Core/Station/JobFeeds.cpp
+++ b/Source/Core/Station/JobFeeds.cpp
@@ -11,6 +11,7 @@
     /// Before the identifier of a job, in the key of its cancellation.
     constexpr char cancelMark = '~';
     constexpr auto claimKey = "@holder";
+    constexpr std::string_view wavePrefix = "@wave/";
 
     void reportUnreadable(const char* what, const Records::keyed_record& record)
     {
@@ -18,6 +19,23 @@
             { { "what", what }, { "key", record.key }, { "offset", std::to_string(record.offset.value) } });
     }
 
+    std::optional<Capacity::wave_status> readWave(const std::string& value)
+    {
+        const auto parsed = Common::parseJson(value);
+        if (!parsed)
+            return std::nullopt;
+        try {
+            Capacity::wave_status status;
+            status.wave = parsed->at("wave").get<std::int64_t>();
+            status.isCompleted = parsed->at("over").get<bool>();
+            for (const auto& id : parsed->at("begun"))
+                status.begun.insert(id.get<Common::instance_id>());
+            return status;
+        } catch (const Common::json::exception&) {
+            return std::nullopt;
+        }
+    }
+
 }
 
 Records::keyed_record jobRecord(const Jobs::job_record& job)
@@ -38,6 +56,13 @@
         .value = Common::writeJson({ { "member", claim.member }, { "number", claim.number } }) };
 }
 
+Records::keyed_record waveRecord(const Capacity::wave_status& status)
+{
+    return { .key = std::string(wavePrefix) + std::to_string(status.wave),
+        .value = Common::writeJson({ { "wave", status.wave }, { "over", status.isCompleted },
+            { "begun", std::vector<Common::instance_id>(status.begun.begin(), status.begun.end()) } }) };
+}
+
 intake_feed::intake_feed(Jobs::job_book& book, job_listener& listener)
     : m_book(book)
     , m_listener(listener)
@@ -84,6 +109,13 @@
     }
     if (record.value.empty())
         return;
+    if (record.key.starts_with(wavePrefix)) {
+        if (const auto status = readWave(record.value))
+            m_waves[status->wave] = *status;
+        else
+            reportUnreadable("wave", record);
+        return;
+    }
     auto progress = Jobs::decodeProgress({ record.key }, record.value);
     if (progress)
         m_book.advance(std::move(*progress));
--- a/Source/Core/Station/JobFeeds.h
+++ b/Source/Core/Station/JobFeeds.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "Capacity/WavePlanner.h"
 #include "Jobs/JobBook.h"
 #include "Records/TopicFollower.h"
 
@@ -16,6 +17,7 @@
 Records::keyed_record cancelRecord(const Common::job_id&);
 Records::keyed_record progressRecord(const Jobs::job_progress&);
 Records::keyed_record claimRecord(const claim_record&);
+Records::keyed_record waveRecord(const Capacity::wave_status&);
 
 /// Takes word of jobs as their records are read.
 class job_listener {
@@ -39,7 +41,7 @@
     job_listener& m_listener;
 };
 
-/// Reads the progress of jobs, and claims of the holder's seat.
+/// Reads the progress of jobs and waves, and claims of the holder's seat.
 class progress_feed : public Records::record_sink {
 public:
     explicit progress_feed(Jobs::job_book&);
@@ -48,10 +50,12 @@
     void apply(const Records::keyed_record&) override;
     /// The newest claim.
     const claim_record& claim() const { return m_claim; }
+    const std::map<std::int64_t, Capacity::wave_status>& waves() const { return m_waves; }
 
 private:
     Jobs::job_book& m_book;
     claim_record m_claim;
+    std::map<std::int64_t, Capacity::wave_status> m_waves;
 };
 
 }
