Failed ends count once, and an unsure holder extends no lease

Taking the highest failed run as a mark was tried first and failed: ends come in the order of workers, not of runs.

Change: the log keeps the failed runs of a task. Leases are extended only while the seat is confirmed; when the store stops answering, they are made as long as they may be, and a new holder reckons with that.

--- a/Source/Core/Dispatch/Dispatcher.cpp
+++ b/Source/Core/Dispatch/Dispatcher.cpp
@@ -22,6 +22,7 @@
     : m_options(options)
     , m_takenOverAt(now)
     , m_observer(observer)
+    , m_grant(options.lease.lease)
 {
 }
 
@@ -35,7 +36,7 @@
     if (found == m_workers.end()) {
         auto& worker = m_workers.emplace(entry.id, worker_state(entry)).first->second;
         // An earlier holder may have granted a lease until just now.
-        worker.grant(now, m_options.lease.lease);
+        worker.grant(now, m_options.lease.longestLease);
         return;
     }
     auto& worker = found->second;
@@ -141,20 +142,21 @@
     return jobs;
 }
 
-dispatch_orders dispatcher::plan(Common::instant now, Common::wall_millis wall, bool mayStart)
+dispatch_orders dispatcher::plan(Common::instant now, Common::wall_millis wall, holder_standing standing)
 {
     dispatch_orders orders;
     if (m_isFenced)
         return orders;
+    m_grant = standing == holder_standing::InDoubt ? m_options.lease.longestLease : m_options.lease.lease;
     expire(now);
     for (const auto& [id, job] : m_jobs)
         job->openDue(wall);
     planStops(now, orders);
     for (const auto& pool : m_rules.pools) {
-        if (mayStart)
+        if (standing != holder_standing::Unconfirmed)
             planStarts(pool.id, now, orders);
     }
-    planHolds(now, orders);
+    planHolds(now, standing, orders);
     planPaces(orders);
     return orders;
 }
@@ -295,7 +297,7 @@
         .run = run,
         .payload = job.record().spec.payload,
         .checkpoint = job.find(name)->checkpoint,
-        .deadline = worker.grant(now, m_options.lease.lease) });
+        .deadline = worker.grant(now, m_grant) });
 }
 
 void dispatcher::planStops(Common::instant now, dispatch_orders& orders)
@@ -314,7 +316,7 @@
     }
 }
 
-void dispatcher::planHolds(Common::instant now, dispatch_orders& orders)
+void dispatcher::planHolds(Common::instant now, holder_standing standing, dispatch_orders& orders)
 {
     for (auto& [id, worker] : m_workers) {
         if (worker.isHoldOpen || now < worker.nextHold)
@@ -322,14 +324,21 @@
         const bool hasNews = worker.notedEnd > m_toldEnd[id];
         if (worker.isInventoried && worker.runs.empty() && !hasNews)
             continue;
+        const auto hasPhase = [&worker](run_phase phase) {
+            return std::any_of(worker.runs.begin(), worker.runs.end(),
+                [phase](const auto& entry) { return entry.second.phase == phase; });
+        };
+        // A start brings its own lease; its answer is worth waiting for.
+        if (worker.isInventoried && !hasNews && hasPhase(run_phase::Starting) && !hasPhase(run_phase::Running)
+            && !hasPhase(run_phase::Stopping))
+            continue;
         hold_order order { .worker = { worker.entry.id, worker.entry.address }, .noted = worker.notedEnd };
         // A silent worker gets no new time, so that what runs there lapses.
-        const bool isExtended = worker.knowsClock() && worker.holdsWithoutAnswer == 0 && !worker.runs.empty();
+        const bool isExtended = standing != holder_standing::Unconfirmed && worker.knowsClock()
+            && worker.holdsWithoutAnswer == 0 && !worker.runs.empty();
         if (isExtended)
-            order.deadline = worker.grant(now, m_options.lease.lease);
-        const bool isStopping = std::any_of(worker.runs.begin(), worker.runs.end(),
-            [](const auto& entry) { return entry.second.phase != run_phase::Running; });
-        if (isExtended && !isStopping)
+            order.deadline = worker.grant(now, m_grant);
+        if (isExtended && !hasPhase(run_phase::Stopping))
             order.wait = holdWait;
         worker.isHoldOpen = true;
         m_toldEnd[id] = worker.notedEnd;
--- a/Source/Core/Dispatch/Dispatcher.h
+++ b/Source/Core/Dispatch/Dispatcher.h
@@ -79,6 +79,15 @@
     Jobs::resources running;
 };
 
+/// How sure the holder is of its seat.
+enum class holder_standing {
+    Confirmed,
+    /// Confirmed, but the store has stopped answering: leases are made as long as they may be.
+    InDoubt,
+    /// Another holder may have taken over: nothing is started, and no lease extended.
+    Unconfirmed
+};
+
 /// Holder's decisions for the workers and jobs of its pools. Free of threads, sockets and clocks: replies
 /// and times come in, orders come out.
 class dispatcher {
@@ -95,8 +104,7 @@
     void addJob(const Jobs::job_record&, const Jobs::job_progress&, Common::instant now);
     void cancelJob(const Common::job_id&);
 
-    /// `mayStart` is false while another holder may have taken over.
-    dispatch_orders plan(Common::instant now, Common::wall_millis wall, bool mayStart);
+    dispatch_orders plan(Common::instant now, Common::wall_millis wall, holder_standing);
     void onStart(const start_order&, const order_reply&, Common::instant now);
     void onStop(const stop_order&, const order_reply&, Common::instant now);
     void onHold(const hold_order&, const hold_reply&, Common::instant sentAt, Common::instant now);
@@ -135,7 +143,7 @@
     placement_request requestFor(open_job&, int occurrence, int step, std::map<Common::worker_id, int>& counts);
     void start(open_job&, const Jobs::task_name&, worker_state&, run_number, Common::instant now, dispatch_orders&);
     void planStops(Common::instant now, dispatch_orders&);
-    void planHolds(Common::instant now, dispatch_orders&);
+    void planHolds(Common::instant now, holder_standing, dispatch_orders&);
     void planPaces(dispatch_orders&);
 
     task_run& addRun(worker_state&, const Jobs::task_name&, const task_run&);
@@ -171,6 +179,8 @@
     std::set<std::string> m_dirty;
     std::map<Common::worker_id, end_number> m_uncovered;
     std::map<Common::worker_id, end_number> m_toldEnd;
+    /// What an order grants now.
+    Common::millis m_grant;
     bool m_isFenced { false };
 };
 
--- a/Source/Core/Dispatch/DispatcherEvents.cpp
+++ b/Source/Core/Dispatch/DispatcherEvents.cpp
@@ -280,13 +280,13 @@
     if (++worker.failuresInRow >= suspectFailures)
         distrust(worker, now + failureDistrust);
     auto* task = job.find(end.task);
-    if (task->phase == task_phase::Done)
+    // An end that an earlier holder has counted is listed again until a cursor passes it.
+    if (task->phase == task_phase::Done || !task->failedRuns.insert(end.run).second)
         return;
-    ++task->failures;
     task->failedOn = worker.entry.id;
     m_dirty.insert(job.record().id.value);
     const auto* queue = queueOf(job);
-    if (queue && task->failures >= queue->maxAttempts)
+    if (queue && static_cast<int>(task->failedRuns.size()) >= queue->maxAttempts)
         conclude(job, Jobs::job_state::Failed);
 }
 
--- a/Source/Core/Dispatch/OpenJob.cpp
+++ b/Source/Core/Dispatch/OpenJob.cpp
@@ -19,7 +19,8 @@
         auto* task = find(name);
         if (!task)
             continue;
-        task->failures = known.failures;
+        for (const auto run : known.failedRuns)
+            task->failedRuns.insert({ run });
         task->checkpoint = known.checkpoint;
         if (known.isDone)
             finish(name);
@@ -134,13 +135,16 @@
             for (std::size_t index = 0; index < tasks.size(); ++index) {
                 const auto& task = tasks[index];
                 const bool isDone = task.phase == task_phase::Done;
-                if (!isDone && task.failures == 0 && task.checkpoint.empty())
+                if (!isDone && task.failedRuns.empty() && task.checkpoint.empty())
                     continue;
+                std::vector<std::int64_t> failed;
+                for (const auto run : task.failedRuns)
+                    failed.push_back(run.value);
                 progress.tasks.push_back({ .occurrence = number,
                     .step = static_cast<int>(step),
                     .index = static_cast<int>(index),
                     .isDone = isDone,
-                    .failures = task.failures,
+                    .failedRuns = std::move(failed),
                     .checkpoint = isDone ? std::string() : task.checkpoint });
             }
         }
--- a/Source/Core/Dispatch/OpenJob.h
+++ b/Source/Core/Dispatch/OpenJob.h
@@ -5,6 +5,7 @@
 
 #include <map>
 #include <memory>
+#include <set>
 
 namespace Dispatch {
 
@@ -19,7 +20,7 @@
     task_phase phase { task_phase::Waiting };
     Common::worker_id worker;
     run_number lastRun;
-    int failures { 0 };
+    std::set<run_number> failedRuns;
     std::string checkpoint;
     /// Where it failed last; not to be tried there again while there are others.
     Common::worker_id failedOn;
--- a/Source/Core/Dispatch/WorkerState.h
+++ b/Source/Core/Dispatch/WorkerState.h
@@ -92,8 +92,8 @@
 struct lease_options {
     /// Time that each order or look grants to what runs on a worker.
     Common::millis lease { 4000 };
-    /// Longest lease that any holder may have granted; the platform caps it.
-    Common::millis longestLease { 10000 };
+    /// Granted while the store doesn't answer, so that work outlasts an outage. A new holder reckons with it.
+    Common::millis longestLease { 9500 };
 };
 
 }
--- a/Source/Core/Jobs/Job.h
+++ b/Source/Core/Jobs/Job.h
@@ -95,7 +95,8 @@
     int step { 0 };
     int index { 0 };
     bool isDone { false };
-    int failures { 0 };
+    /// Runs that failed; the end of one may be listed to a later holder again.
+    std::vector<std::int64_t> failedRuns;
     std::string checkpoint;
 
     friend bool operator==(const task_progress&, const task_progress&) = default;
--- a/Source/Core/Jobs/JobCodec.cpp
+++ b/Source/Core/Jobs/JobCodec.cpp
@@ -114,8 +114,8 @@
 {
     json tasks = json::array();
     for (const auto& task : progress.tasks)
-        tasks.push_back(json::array(
-            { task.occurrence, task.step, task.index, task.isDone ? 1 : 0, task.failures, task.checkpoint }));
+        tasks.push_back(json::array({ task.occurrence, task.step, task.index, task.isDone ? 1 : 0,
+            task.failedRuns, task.checkpoint }));
     return Common::writeJson({ { "state", static_cast<int>(progress.state) }, { "tasks", tasks } });
 }
 
@@ -130,7 +130,7 @@
                 .step = row.at(1).get<int>(),
                 .index = row.at(2).get<int>(),
                 .isDone = row.at(3).get<int>() != 0,
-                .failures = row.at(4).get<int>(),
+                .failedRuns = row.at(4).get<std::vector<std::int64_t>>(),
                 .checkpoint = row.at(5).get<std::string>() });
         return progress;
     });
--- a/Source/Core/Station/EntryStation.cpp
+++ b/Source/Core/Station/EntryStation.cpp
@@ -121,7 +121,7 @@
     m_intake->setGap(holderGap);
     // Jobs that an earlier holder may have started must be known before its workers are looked at.
     m_intake->refresh(Common::millis(2000), [this, won](bool isRead) {
-        if (!isRead || !m_seat->isConfirmed() || !m_rules) {
+        if (!isRead || m_seat->standing() == Dispatch::holder_standing::Unconfirmed || !m_rules) {
             endTenure();
             return;
         }
@@ -149,7 +149,7 @@
     run->setWaves(m_waves);
     for (const auto& [id, worker] : m_workers)
         run->workerListed(worker);
-    run->start(m_progressFeed.waves(), [this] { return m_seat->isConfirmed(); }, [this] { endTenure(); });
+    run->start(m_progressFeed.waves(), [this] { return m_seat->standing(); }, [this] { endTenure(); });
 }
 
 void entry_station::endTenure()
--- a/Source/Core/Station/HolderRun.cpp
+++ b/Source/Core/Station/HolderRun.cpp
@@ -141,9 +141,9 @@
 }
 
 void holder_run::start(const std::map<std::int64_t, Capacity::wave_status>& waves,
-    std::function<bool()> isConfirmed, std::function<void()> onLost)
+    std::function<Dispatch::holder_standing()> standing, std::function<void()> onLost)
 {
-    m_isConfirmed = std::move(isConfirmed);
+    m_standing = std::move(standing);
     m_onLost = std::move(onLost);
     const auto now = m_parts.timers.now();
     for (const auto& id : m_parts.book.openJobs()) {
@@ -255,11 +255,11 @@
 
 void holder_run::turn()
 {
-    const bool isConfirmed = m_isConfirmed();
+    const auto standing = m_standing();
     // Instances go first: a worker that is about to leave gets no more starts.
     if (m_fleet)
-        m_fleet->turn(isConfirmed);
-    carryOut(m_dispatcher.plan(m_parts.timers.now(), Common::wallNow(), isConfirmed));
+        m_fleet->turn(standing != Dispatch::holder_standing::Unconfirmed);
+    carryOut(m_dispatcher.plan(m_parts.timers.now(), Common::wallNow(), standing));
     flush();
     if (m_dispatcher.isFenced())
         lose("fenced_by_worker");
--- a/Source/Core/Station/HolderRun.h
+++ b/Source/Core/Station/HolderRun.h
@@ -38,8 +38,8 @@
 public:
     holder_run(const holder_parts&, const holder_tenure&);
 
-    /// `isConfirmed` tells whether no other holder can have taken over yet.
-    void start(const std::map<std::int64_t, Capacity::wave_status>& waves, std::function<bool()> isConfirmed,
+    /// `standing` tells how sure the seat is at a moment.
+    void start(const std::map<std::int64_t, Capacity::wave_status>& waves, std::function<Dispatch::holder_standing()> standing,
         std::function<void()> onLost);
     /// Gives no more orders. What runs goes on under its leases.
     void stop();
@@ -76,7 +76,7 @@
     std::shared_ptr<Records::batch_appender> m_appender;
     /// Empty when instances can't be moved or maintained.
     std::shared_ptr<fleet_run> m_fleet;
-    std::function<bool()> m_isConfirmed;
+    std::function<Dispatch::holder_standing()> m_standing;
     std::function<void()> m_onLost;
     int m_commitsOpen { 0 };
     bool m_isTurnDue { false };
--- a/Source/Core/Station/HolderSeat.cpp
+++ b/Source/Core/Station/HolderSeat.cpp
@@ -10,6 +10,8 @@
 
     constexpr Common::millis joinInterval { 350 };
     constexpr Common::millis joinTimeout { 900 };
+    /// A join that takes longer puts the store's health in doubt.
+    constexpr Common::millis slowJoin { 200 };
     constexpr Common::millis claimTimeout { 1200 };
     constexpr Common::millis claimRetry { 80 };
     /// Part of the time to live for which a join confirms the seat; the rest covers clocks that differ.
@@ -36,7 +38,14 @@
     join();
 }
 
-bool holder_seat::isConfirmed() const { return m_isDealtHere && m_timers.now() < m_confirmedUntil; }
+Dispatch::holder_standing holder_seat::standing() const
+{
+    const auto now = m_timers.now();
+    if (!m_isDealtHere || now >= m_confirmedUntil)
+        return Dispatch::holder_standing::Unconfirmed;
+    const bool isLate = m_joinBegan && now - *m_joinBegan > slowJoin;
+    return m_hasFailed || isLate ? Dispatch::holder_standing::InDoubt : Dispatch::holder_standing::Confirmed;
+}
 
 void holder_seat::vacate() { m_state = seat_state::Idle; }
 
@@ -52,12 +61,15 @@
     if (m_hasLeft)
         return;
     const auto began = m_timers.now();
+    m_joinBegan = began;
     m_store.join({ .group = m_options.group,
                      .member = m_options.member,
                      .topic = m_options.progressTopic.topic,
                      .timeToLive = m_options.timeToLive,
                      .generation = m_generation },
         joinTimeout, [self = shared_from_this(), began](const std::optional<Records::group_share>& share) {
+            self->m_joinBegan.reset();
+            self->m_hasFailed = !share;
             self->onShare(share, began);
             self->m_timers.after(joinInterval, [self] { self->join(); });
         });
--- a/Source/Core/Station/HolderSeat.h
+++ b/Source/Core/Station/HolderSeat.h
@@ -32,8 +32,8 @@
 
     /// `onWon` is called after a claim, `onDealtAway` once the group deals the seat elsewhere.
     void start(std::function<void(won_seat)> onWon, std::function<void()> onDealtAway);
-    /// Whether no other process can have been dealt the seat yet.
-    bool isConfirmed() const;
+    /// Whether no other process can have been dealt the seat yet, and whether the store still answers.
+    Dispatch::holder_standing standing() const;
     /// The holder has lost its seat and may claim it again.
     void vacate();
     /// Leaves the group and claims no more.
@@ -46,6 +46,7 @@
         Holding
     };
 
+    bool isConfirmed() const { return standing() != Dispatch::holder_standing::Unconfirmed; }
     void join();
     void onShare(const std::optional<Records::group_share>&, Common::instant began);
     void claim();
@@ -62,6 +63,8 @@
     seat_state m_state { seat_state::Idle };
     bool m_isDealtHere { false };
     bool m_hasLeft { false };
+    bool m_hasFailed { false };
+    std::optional<Common::instant> m_joinBegan;
     std::int64_t m_generation { 0 };
     Common::instant m_confirmedUntil;
 };
--- /dev/null
+++ b/Source/UnitTests/Core/Dispatch/DispatcherFixture.h
@@ -0,0 +1,121 @@
+#pragma once
+
+#include "Dispatch/Dispatcher.h"
+
+#include <algorithm>
+
+/// A dispatcher with one pool, one queue and one team, whose workers answer as a test says.
+struct dispatcher_fixture : Dispatch::dispatch_observer {
+    static constexpr Common::millis stepTime { 10 };
+
+    explicit dispatcher_fixture(std::int64_t token = 7, std::int64_t runBase = 0)
+        : dispatcher({ .token = { token }, .runBase = { runBase } }, now, *this)
+    {
+        rules.version = 1;
+        rules.pools = { { .id = { "pool" }, .checksCapacity = true } };
+        rules.queues = { { .id = { "queue" }, .host = "h", .pathPrefix = "/q/", .pool = { "pool" }, .maxAttempts = 2 } };
+        rules.teams = { { .id = { "team" }, .keys = { "key" } } };
+        dispatcher.setRules(rules);
+    }
+
+    void observe(const Dispatch::dispatch_event& event) override { events.push_back(event); }
+
+    static Dispatch::worker_entry worker(const std::string& id, std::int64_t cores = 8)
+    {
+        return { .id = { id },
+            .pool = { "pool" },
+            .address = { "127.0.0.1", 1 },
+            .dataCentre = { "dc" },
+            .rack = { "r1" },
+            .labels = { "a", "r1" },
+            .capacity = { .processor = { cores * 1000 }, .memory = { 100000 } },
+            .bornAt = { 1000 } };
+    }
+
+    static Jobs::job_record job(const std::string& id, std::vector<Jobs::step_spec> steps)
+    {
+        return { .id = { id }, .queue = { "queue" }, .team = { "team" }, .spec = { .payload = "p", .steps = steps } };
+    }
+
+    static Jobs::step_spec step(int count, std::int64_t millicores = 1000, std::vector<int> dependsOn = {})
+    {
+        return { .count = count,
+            .request = { .processor = { millicores }, .memory = { 10 } },
+            .estimate = Common::millis(500),
+            .dependsOn = std::move(dependsOn) };
+    }
+
+    void add(const Jobs::job_record& record, const Jobs::job_progress& progress = {})
+    {
+        auto known = progress;
+        known.job = record.id;
+        dispatcher.addJob(record, known, now);
+    }
+
+    Dispatch::dispatch_orders plan(Dispatch::holder_standing standing = Dispatch::holder_standing::Confirmed)
+    {
+        now += stepTime;
+        auto orders = dispatcher.plan(now, { now.time_since_epoch().count() / 1000000 }, standing);
+        for (const auto& hold : orders.holds)
+            openLooks[hold.worker.id] = hold;
+        return orders;
+    }
+
+    Dispatch::order_reply done() const { return { .clock = Dispatch::worker_millis { 5000 }, .bornAt = bornAt }; }
+
+    static Dispatch::order_reply reply(Dispatch::order_outcome outcome) { return { .outcome = outcome }; }
+
+    /// Answers a look with the given lists.
+    void look(const Dispatch::hold_order& order, std::vector<Dispatch::listed_run> running = {},
+        std::vector<Dispatch::listed_end> ended = {})
+    {
+        const auto sentAt = now;
+        openLooks.erase(order.worker.id);
+        now += stepTime;
+        auto base = done();
+        base.outcome = Dispatch::order_outcome::Done;
+        dispatcher.onHold(order, { .base = base, .running = std::move(running), .ended = std::move(ended) }, sentAt, now);
+    }
+
+    /// Lists a worker and answers its first look with nothing running.
+    void join(const Dispatch::worker_entry& entry)
+    {
+        dispatcher.workerListed(entry, now);
+        for (const auto& order : plan(Dispatch::holder_standing::Unconfirmed).holds)
+            look(order);
+    }
+
+    void accept(const Dispatch::start_order& order)
+    {
+        auto taken = done();
+        taken.outcome = Dispatch::order_outcome::Done;
+        dispatcher.onStart(order, taken, now);
+    }
+
+    static Dispatch::listed_run listed(const Dispatch::start_order& order, int percent = 10)
+    {
+        return { .task = order.task, .run = order.run, .percent = { percent } };
+    }
+
+    Dispatch::listed_end ended(const Dispatch::start_order& order, Dispatch::end_kind kind)
+    {
+        return { .number = { ++lastEnd }, .task = order.task, .run = order.run, .kind = kind };
+    }
+
+    /// The open look at a worker; plans until there is one.
+    std::optional<Dispatch::hold_order> nextLook(const std::string& id = "w1")
+    {
+        for (int turn = 0; turn < 200 && !openLooks.contains({ id }); ++turn)
+            plan(Dispatch::holder_standing::Unconfirmed);
+        const auto found = openLooks.find({ id });
+        return found == openLooks.end() ? std::nullopt : std::optional(found->second);
+    }
+
+    Common::instant now { std::chrono::seconds(1000) };
+    Common::wall_millis bornAt { 1000 };
+    std::int64_t lastEnd { 0 };
+    std::map<Common::worker_id, Dispatch::hold_order> openLooks;
+    std::vector<Dispatch::dispatch_event> events;
+    Rules::fleet_rules rules;
+    Dispatch::dispatcher dispatcher;
+};
--- /dev/null
+++ b/Source/UnitTests/Core/Dispatch/DispatcherTest.cpp
@@ -0,0 +1,260 @@
+#include "DispatcherFixture.h"
+
+#include <catch2/catch.hpp>
+
+using Dispatch::end_kind;
+using Dispatch::order_outcome;
+using Jobs::job_state;
+
+TEST_CASE("A job runs its steps in order and is completed once the log has it", "[dispatch]")
+{
+    dispatcher_fixture f;
+    f.join(f.worker("w1"));
+    f.add(f.job("j", { f.step(2), f.step(1, 1000, { 0 }) }));
+    const auto first = f.plan().starts;
+    REQUIRE(first.size() == 2);
+    for (const auto& order : first)
+        f.accept(order);
+
+    SECTION("the second step waits for all tasks of the first")
+    {
+        const auto look = f.nextLook();
+        REQUIRE(look);
+        f.look(*look, { f.listed(first[1]) }, { f.ended(first[0], end_kind::Done) });
+        CHECK(f.plan().starts.empty());
+    }
+    SECTION("and runs after them, without waiting for the log")
+    {
+        const auto look = f.nextLook();
+        REQUIRE(look);
+        f.look(*look, {}, { f.ended(first[0], end_kind::Done), f.ended(first[1], end_kind::Done) });
+        const auto second = f.plan().starts;
+        REQUIRE(second.size() == 1);
+        CHECK(second[0].task.step == 1);
+        f.accept(second[0]);
+
+        SECTION("ends are acknowledged to the worker only after they are stored")
+        {
+            const auto batch = f.dispatcher.takeCommit();
+            REQUIRE(batch.progress.size() == 1);
+            CHECK(batch.progress[0].state == job_state::Running);
+            auto before = f.nextLook();
+            REQUIRE(before);
+            CHECK(before->noted.value == 0);
+            f.look(*before, { f.listed(second[0]) });
+            f.dispatcher.onCommitted(batch, f.now);
+            const auto after = f.nextLook();
+            REQUIRE(after);
+            CHECK(after->noted.value == 2);
+        }
+        SECTION("the job is completed with its last end")
+        {
+            const auto last = f.nextLook();
+            REQUIRE(last);
+            f.look(*last, {}, { f.ended(second[0], end_kind::Done) });
+            const auto batch = f.dispatcher.takeCommit();
+            REQUIRE(batch.progress.size() == 1);
+            CHECK(batch.progress[0].state == job_state::Completed);
+            f.dispatcher.onCommitted(batch, f.now);
+            CHECK_FALSE(f.dispatcher.hasJob({ "j" }));
+        }
+    }
+}
+
+TEST_CASE("A failed end that an earlier holder has counted isn't counted again", "[dispatch]")
+{
+    dispatcher_fixture f(20, 1000);
+    const Jobs::job_progress known { .state = job_state::Running,
+        .tasks = { { .occurrence = 0, .step = 0, .index = 0, .failedRuns = { 1 } } } };
+    f.dispatcher.workerListed(f.worker("w1"), f.now);
+    f.add(f.job("j", { f.step(1) }), known);
+    const auto look = f.nextLook();
+    REQUIRE(look);
+    f.look(*look, {}, { { .number = { 1 }, .task = { { "j" }, 0, 0, 0 }, .run = { 1 }, .kind = end_kind::Failed } });
+    const auto starts = f.plan().starts;
+    REQUIRE(starts.size() == 1);
+    CHECK(starts[0].run.value == 1001);
+}
+
+TEST_CASE("A new holder looks at all workers of a pool before it starts what may run there", "[dispatch]")
+{
+    dispatcher_fixture f(20, 1000);
+    f.dispatcher.workerListed(f.worker("w1"), f.now);
+    f.dispatcher.workerListed(f.worker("w2"), f.now);
+    f.add(f.job("j", { f.step(1) }));
+    const auto holds = f.plan().holds;
+    REQUIRE(holds.size() == 2);
+    CHECK_FALSE(holds[0].deadline);
+    f.look(holds[0]);
+    CHECK(f.plan().starts.empty());
+
+    SECTION("what runs there is taken over")
+    {
+        f.look(holds[1], { { .task = { { "j" }, 0, 0, 0 }, .run = { 3 }, .percent = { 50 } } });
+        CHECK(f.plan().starts.empty());
+        CHECK(f.dispatcher.workers().at({ "w2" }).runs.size() == 1);
+    }
+    SECTION("what runs nowhere is started")
+    {
+        f.look(holds[1]);
+        CHECK(f.plan().starts.size() == 1);
+    }
+    SECTION("a worker that doesn't answer keeps the pool closed until its lease is surely over")
+    {
+        f.dispatcher.onHold(holds[1], { .base = f.reply(order_outcome::NoAnswer) }, f.now, f.now);
+        f.now += std::chrono::seconds(9);
+        CHECK(f.plan().starts.empty());
+        f.now += std::chrono::seconds(1);
+        CHECK(f.plan().starts.size() == 1);
+    }
+}
+
+TEST_CASE("A start without an answer is settled before the task is started elsewhere", "[dispatch]")
+{
+    dispatcher_fixture f;
+    f.join(f.worker("w1"));
+    f.join(f.worker("w2"));
+    f.add(f.job("j", { f.step(1) }));
+    const auto start = f.plan().starts.at(0);
+    f.dispatcher.onStart(start, f.reply(order_outcome::NoAnswer), f.now);
+    const auto next = f.plan();
+    CHECK(next.starts.empty());
+    REQUIRE(next.stops.size() == 1);
+    CHECK(next.stops[0].run == start.run);
+
+    SECTION("a stop that was taken bars the run for good")
+    {
+        auto taken = f.done();
+        taken.outcome = order_outcome::Done;
+        f.dispatcher.onStop(next.stops[0], taken, f.now);
+        // A look that was sent before the worker carries the stop out proves nothing.
+        f.look(*f.nextLook());
+        CHECK(f.plan().starts.empty());
+        f.now += std::chrono::milliseconds(250);
+        f.look(*f.nextLook());
+        const auto again = f.plan().starts;
+        REQUIRE(again.size() == 1);
+        CHECK(again[0].run > start.run);
+    }
+    SECTION("without an answer to the stop it is tried again, until the lease is over")
+    {
+        f.dispatcher.onStop(next.stops[0], f.reply(order_outcome::NoAnswer), f.now);
+        f.now += std::chrono::milliseconds(400);
+        CHECK(f.plan().stops.size() == 1);
+        CHECK(f.plan().starts.empty());
+    }
+}
+
+TEST_CASE("A fence ends all orders", "[dispatch]")
+{
+    dispatcher_fixture f;
+    f.join(f.worker("w1"));
+    f.add(f.job("j", { f.step(1) }));
+    const auto start = f.plan().starts.at(0);
+    f.dispatcher.onStart(start, f.reply(order_outcome::Fenced), f.now);
+    CHECK(f.dispatcher.isFenced());
+    CHECK(f.plan().holds.empty());
+}
+
+TEST_CASE("A cancelled job is stopped and stays cancelled", "[dispatch]")
+{
+    dispatcher_fixture f;
+    f.join(f.worker("w1"));
+    f.add(f.job("j", { f.step(1) }));
+    const auto start = f.plan().starts.at(0);
+    f.accept(start);
+    f.dispatcher.cancelJob({ "j" });
+    CHECK(f.plan().stops.size() == 1);
+    const auto batch = f.dispatcher.takeCommit();
+    REQUIRE(batch.progress.size() == 1);
+    CHECK(batch.progress[0].state == job_state::Cancelled);
+}
+
+TEST_CASE("A team's limit holds over tasks that are being stopped", "[dispatch]")
+{
+    dispatcher_fixture f;
+    f.rules.teams[0].most.processor = { 2000 };
+    f.dispatcher.setRules(f.rules);
+    f.join(f.worker("w1"));
+    f.add(f.job("j", { f.step(2) }));
+    f.add(f.job("k", { f.step(1) }));
+    const auto starts = f.plan().starts;
+    CHECK(starts.size() == 2);
+    for (const auto& start : starts)
+        f.accept(start);
+    f.dispatcher.cancelJob({ "j" });
+    CHECK(f.plan().starts.empty());
+}
+
+TEST_CASE("A worker with the same id and another birth runs nothing of before", "[dispatch]")
+{
+    dispatcher_fixture f;
+    f.join(f.worker("w1"));
+    f.add(f.job("j", { f.step(1) }));
+    f.accept(f.plan().starts.at(0));
+    f.bornAt = { 2000 };
+    const auto look = f.nextLook();
+    REQUIRE(look);
+    f.look(*look);
+    CHECK(f.dispatcher.workers().at({ "w1" }).runs.empty());
+    CHECK(f.dispatcher.workers().at({ "w1" }).entry.bornAt.value == 2000);
+}
+
+TEST_CASE("A task that fails too often ends its job, on other workers first", "[dispatch]")
+{
+    dispatcher_fixture f;
+    f.join(f.worker("w1"));
+    f.join(f.worker("w2"));
+    f.add(f.job("j", { f.step(1) }));
+    const auto first = f.plan().starts.at(0);
+    f.accept(first);
+    f.look(*f.nextLook(first.worker.id.value), {}, { f.ended(first, end_kind::Failed) });
+    const auto second = f.plan().starts.at(0);
+    CHECK(second.worker.id != first.worker.id);
+    f.accept(second);
+    f.lastEnd = 0;
+    f.look(*f.nextLook(second.worker.id.value), {}, { f.ended(second, end_kind::Failed) });
+    const auto batch = f.dispatcher.takeCommit();
+    REQUIRE(batch.progress.size() == 1);
+    CHECK(batch.progress[0].state == job_state::Failed);
+}
+
+TEST_CASE("Failed ends count once each, in whatever order they are listed", "[dispatch]")
+{
+    dispatcher_fixture f(20, 1000);
+    f.dispatcher.workerListed(f.worker("w1"), f.now);
+    f.dispatcher.workerListed(f.worker("w2"), f.now);
+    f.add(f.job("j", { f.step(1) }));
+    const Jobs::task_name task { { "j" }, 0, 0, 0 };
+    f.look(*f.nextLook("w2"), {}, { { .number = { 1 }, .task = task, .run = { 2 }, .kind = end_kind::Failed } });
+    f.look(*f.nextLook("w1"), {}, { { .number = { 1 }, .task = task, .run = { 1 }, .kind = end_kind::Failed } });
+    const auto batch = f.dispatcher.takeCommit();
+    REQUIRE(batch.progress.size() == 1);
+    CHECK(batch.progress[0].state == job_state::Failed);
+    CHECK(f.plan().starts.empty());
+}
+
+TEST_CASE("A holder that isn't sure of its seat extends no lease", "[dispatch]")
+{
+    dispatcher_fixture f;
+    f.join(f.worker("w1"));
+    f.add(f.job("j", { f.step(1) }));
+    const auto start = f.plan().starts.at(0);
+    f.accept(start);
+
+    SECTION("so that what runs lapses before the next holder starts it")
+    {
+        const auto look = f.nextLook();
+        REQUIRE(look);
+        CHECK_FALSE(look->deadline);
+    }
+    SECTION("and grants as much as it may while the store has only just stopped answering")
+    {
+        f.look(*f.nextLook(), { f.listed(start) });
+        f.plan(Dispatch::holder_standing::InDoubt);
+        const auto look = f.nextLook();
+        REQUIRE(look);
+        REQUIRE(look->deadline);
+        CHECK(look->deadline->value >= 5000 + 9500);
+    }
+}
