A new holder knows all workers before it starts anything

Change: the tenure begins after the register and the jobs are read, and starts nothing before the list of instances is known: workers on it that haven't registered may run anything until their lease is over, silent workers that no instance runs have ended.

--- a/Source/Core/Capacity/CapacityPlanner.cpp
+++ b/Source/Core/Capacity/CapacityPlanner.cpp
@@ -12,9 +12,16 @@
     m_waves.setWaves(waves, now);
 }
 
-void capacity_planner::onList(const std::vector<instance_entry>& list, Common::instant began)
+void capacity_planner::onList(const std::vector<instance_entry>& list, Dispatch::dispatcher& dispatcher,
+    Common::instant began, Common::instant now)
 {
     m_book.update(list, began);
+    std::map<Common::worker_id, Common::pool_id> roster;
+    for (const auto& entry : list) {
+        if (!entry.worker.empty())
+            roster.emplace(entry.worker, entry.pool);
+    }
+    dispatcher.setRoster(roster, began, now);
 }
 
 capacity_orders capacity_planner::plan(Dispatch::dispatcher& dispatcher, Common::instant now)
--- a/Source/Core/Capacity/CapacityPlanner.h
+++ b/Source/Core/Capacity/CapacityPlanner.h
@@ -13,7 +13,7 @@
     void setRules(const Rules::fleet_rules& rules) { m_rules = rules; }
     void setWaves(const std::map<std::int64_t, Rules::upkeep_wave>&, Common::instant now);
     void restore(const wave_status& status) { m_waves.restore(status); }
-    void onList(const std::vector<instance_entry>&, Common::instant began);
+    void onList(const std::vector<instance_entry>&, Dispatch::dispatcher&, Common::instant began, Common::instant now);
     capacity_orders plan(Dispatch::dispatcher&, Common::instant now);
     void onMove(const move_order&, instance_outcome, Dispatch::dispatcher&, Common::instant now);
     void onUpkeep(const upkeep_order&, instance_outcome, Common::instant now);
--- a/Source/Core/Dispatch/Dispatcher.cpp
+++ b/Source/Core/Dispatch/Dispatcher.cpp
@@ -10,6 +10,8 @@
     constexpr Common::millis holdWait { 1000 };
     /// A stop without an answer is sent again after this time.
     constexpr Common::millis stopRepeat { 300 };
+    /// A worker stands in the list of instances this long after it registered at the latest.
+    constexpr Common::millis rosterLag { 2000 };
     /// Fillers are slowed when a serving task comes this near to its target, and sped up below the second share.
     constexpr double slowAtShare = 0.85;
     constexpr double hastenBelowShare = 0.6;
@@ -35,6 +37,7 @@
     const auto found = m_workers.find(entry.id);
     if (found == m_workers.end()) {
         auto& worker = m_workers.emplace(entry.id, worker_state(entry)).first->second;
+        worker.firstSeenAt = now;
         // An earlier holder may have granted a lease until just now.
         worker.grant(now, m_options.lease.longestLease);
         return;
@@ -57,6 +60,26 @@
         found->second.isListed = false;
 }
 
+void dispatcher::setRoster(const std::map<Common::worker_id, Common::pool_id>& roster, Common::instant began,
+    Common::instant now)
+{
+    for (const auto& [id, pool] : roster) {
+        if (m_isRosterKnown || m_workers.contains(id))
+            continue;
+        worker_entry unregistered { .id = id, .pool = pool };
+        auto& worker = m_workers.emplace(id, worker_state(unregistered)).first->second;
+        worker.isListed = false;
+        worker.firstSeenAt = now;
+        worker.grant(now, m_options.lease.longestLease);
+    }
+    m_isRosterKnown = true;
+    for (auto& [id, worker] : m_workers) {
+        const bool isSilent = worker.holdsWithoutAnswer > 0 || !worker.isListed;
+        if (isSilent && !roster.contains(id) && began > worker.firstSeenAt + rosterLag)
+            worker.lapseBound = std::min(worker.lapseBound, now);
+    }
+}
+
 bool dispatcher::isCordoned(const Common::worker_id& id) const
 {
     const auto found = m_workers.find(id);
@@ -104,6 +127,8 @@
 
 bool dispatcher::isPoolOpen(const Common::pool_id& pool, Common::instant now) const
 {
+    if (!m_isRosterKnown && now < m_takenOverAt + m_options.rosterPatience)
+        return false;
     return std::all_of(m_workers.begin(), m_workers.end(), [&pool, now](const auto& entry) {
         const auto& worker = entry.second;
         return worker.entry.pool != pool || worker.isInventoried || now >= worker.lapseBound;
@@ -319,7 +344,7 @@
 void dispatcher::planHolds(Common::instant now, holder_standing standing, dispatch_orders& orders)
 {
     for (auto& [id, worker] : m_workers) {
-        if (worker.isHoldOpen || now < worker.nextHold)
+        if (worker.isHoldOpen || now < worker.nextHold || worker.entry.address.port == 0)
             continue;
         const bool hasNews = worker.notedEnd > m_toldEnd[id];
         if (worker.isInventoried && worker.runs.empty() && !hasNews)
--- a/Source/Core/Dispatch/Dispatcher.h
+++ b/Source/Core/Dispatch/Dispatcher.h
@@ -18,6 +18,8 @@
     Common::millis stopTime { 200 };
     /// A holder before us may have started tasks for so long after our claim.
     Common::millis overlap { 1500 };
+    /// Without a list of instances, the registered workers are taken for all after this time.
+    Common::millis rosterPatience { 3000 };
 };
 
 struct dispatch_orders {
@@ -100,6 +102,9 @@
     void workerUnlisted(const Common::worker_id&);
     bool isEvacuated(const Common::data_centre_id& zone) const { return m_evacuated.contains(zone); }
     bool isCordoned(const Common::worker_id&) const;
+    /// Workers that the instances run, with their pools, by a list whose reading began at `began`. A worker that
+    /// isn't among them has ended; one that hasn't registered may still run what an earlier holder started.
+    void setRoster(const std::map<Common::worker_id, Common::pool_id>&, Common::instant began, Common::instant now);
     void setCordoned(const Common::worker_id&, bool);
     void addJob(const Jobs::job_record&, const Jobs::job_progress&, Common::instant now);
     void cancelJob(const Common::job_id&);
@@ -179,6 +184,8 @@
     std::set<std::string> m_dirty;
     std::map<Common::worker_id, end_number> m_uncovered;
     std::map<Common::worker_id, end_number> m_toldEnd;
+    /// The workers that an earlier holder may have given orders are known.
+    bool m_isRosterKnown { false };
     /// What an order grants now.
     Common::millis m_grant;
     bool m_isFenced { false };
--- a/Source/Core/Dispatch/WorkerState.h
+++ b/Source/Core/Dispatch/WorkerState.h
@@ -46,6 +46,7 @@
     /// Our orders leave it alone, since its instance is about to be moved or maintained.
     bool isCordoned { false };
     bool isHoldOpen { false };
+    Common::instant firstSeenAt;
     Common::instant nextHold;
     Common::instant distrustedUntil;
     /// Nothing that we, or a holder before us, ordered there runs after this.
--- a/Source/Core/Station/EntryStation.cpp
+++ b/Source/Core/Station/EntryStation.cpp
@@ -17,6 +17,8 @@
     constexpr Common::millis oldestReadyView { 4000 };
     /// A submission is given up after this time, before its caller gives up.
     constexpr Common::millis storePatience { 2300 };
+    /// How long a new holder waits for the store before it gives its seat up.
+    constexpr Common::millis tenurePatience { 2000 };
     constexpr Common::millis seatTimeToLive { 1500 };
     /// The balancer looks once a second and takes an instance out after two misses.
     constexpr Common::millis balancerGrace { 2500 };
@@ -119,8 +121,18 @@
 void entry_station::beginTenure(const won_seat& won)
 {
     m_intake->setGap(holderGap);
-    // Jobs that an earlier holder may have started must be known before its workers are looked at.
-    m_intake->refresh(Common::millis(2000), [this, won](bool isRead) {
+    // Workers and jobs that an earlier holder dealt with must be known before anything is started.
+    m_workerList->refresh(tenurePatience, [this, won](bool isRead) {
+        if (isRead)
+            readJobsForTenure(won);
+        else
+            endTenure();
+    });
+}
+
+void entry_station::readJobsForTenure(const won_seat& won)
+{
+    m_intake->refresh(tenurePatience, [this, won](bool isRead) {
         if (!isRead || m_seat->standing() == Dispatch::holder_standing::Unconfirmed || !m_rules) {
             endTenure();
             return;
--- a/Source/Core/Station/EntryStation.h
+++ b/Source/Core/Station/EntryStation.h
@@ -58,6 +58,7 @@
     bool isReady() const;
     void answerReadiness(const EventLoop::http_request&, const EventLoop::responder&) const;
     void beginTenure(const won_seat&);
+    void readJobsForTenure(const won_seat&);
     void fillTenure(const std::shared_ptr<holder_run>&);
     void endTenure();
     void finishRetiring();
--- a/Source/Core/Station/FleetRun.cpp
+++ b/Source/Core/Station/FleetRun.cpp
@@ -72,7 +72,7 @@
             if (self->m_isOver)
                 return;
             if (list)
-                self->m_planner.onList(*list, began);
+                self->m_planner.onList(*list, self->m_dispatcher, began, self->m_parts.timers.now());
             const auto pause = self->m_planner.isChanging() ? busyListPause : calmListPause;
             self->m_parts.timers.after(pause, [self] { self->readList(); });
         });
--- a/Source/UnitTests/Core/Dispatch/DispatcherFixture.h
+++ b/Source/UnitTests/Core/Dispatch/DispatcherFixture.h
@@ -16,6 +16,7 @@
         rules.queues = { { .id = { "queue" }, .host = "h", .pathPrefix = "/q/", .pool = { "pool" }, .maxAttempts = 2 } };
         rules.teams = { { .id = { "team" }, .keys = { "key" } } };
         dispatcher.setRules(rules);
+        dispatcher.setRoster({}, now, now);
     }
 
     void observe(const Dispatch::dispatch_event& event) override { events.push_back(event); }
--- a/Source/UnitTests/Core/Dispatch/DispatcherTest.cpp
+++ b/Source/UnitTests/Core/Dispatch/DispatcherTest.cpp
@@ -258,3 +258,54 @@
         CHECK(look->deadline->value >= 5000 + 9500);
     }
 }
+
+TEST_CASE("A new holder waits for workers that haven't registered", "[dispatch]")
+{
+    dispatcher_fixture f;
+    Dispatch::dispatcher fresh({ .token = { 9 } }, f.now, f);
+    fresh.setRules(f.rules);
+    fresh.addJob(f.job("j", { f.step(1) }), { .job = { "j" } }, f.now);
+    fresh.workerListed(f.worker("w1"), f.now);
+    const auto plan = [&] {
+        f.now += std::chrono::milliseconds(10);
+        return fresh.plan(f.now, { 0 }, Dispatch::holder_standing::Confirmed);
+    };
+    const auto holds = plan().holds;
+    REQUIRE(holds.size() == 1);
+    auto answer = f.done();
+    answer.outcome = order_outcome::Done;
+    fresh.onHold(holds[0], { .base = answer }, f.now, f.now);
+
+    SECTION("nothing is started before the instances are known")
+    {
+        CHECK(plan().starts.empty());
+    }
+    SECTION("an unregistered worker may run the task until its lease is over")
+    {
+        fresh.setRoster({ { { "w1" }, { "pool" } }, { { "w2" }, { "pool" } } }, f.now, f.now);
+        CHECK(plan().starts.empty());
+        f.now += std::chrono::seconds(10);
+        CHECK(plan().starts.size() == 1);
+    }
+    SECTION("with all workers known the task is started")
+    {
+        fresh.setRoster({ { { "w1" }, { "pool" } } }, f.now, f.now);
+        CHECK(plan().starts.size() == 1);
+    }
+}
+
+TEST_CASE("A silent worker that no instance runs has ended", "[dispatch]")
+{
+    dispatcher_fixture f;
+    f.join(f.worker("w1"));
+    f.join(f.worker("w2"));
+    f.add(f.job("j", { f.step(1) }));
+    const auto start = f.plan().starts.at(0);
+    f.accept(start);
+    const auto id = start.worker.id;
+    f.now += std::chrono::milliseconds(2500);
+    f.dispatcher.onHold(*f.nextLook(id.value), { .base = f.reply(order_outcome::NoAnswer) }, f.now, f.now);
+    CHECK(f.plan().starts.empty());
+    f.dispatcher.setRoster({ { { id.value == "w1" ? "w2" : "w1" }, { "pool" } } }, f.now, f.now);
+    CHECK(f.plan().starts.size() == 1);
+}
