--- a/Source/Core/Capacity/CapacityPlanner.h
+++ b/Source/Core/Capacity/CapacityPlanner.h
@@ -17,6 +17,7 @@
     capacity_orders plan(Dispatch::dispatcher&, Common::instant now);
     void onMove(const move_order&, instance_outcome, Dispatch::dispatcher&, Common::instant now);
     void onUpkeep(const upkeep_order&, instance_outcome, Common::instant now);
+    const std::vector<pool_survey>& lastSurvey() const { return m_sizer.lastSurvey(); }
     std::vector<wave_status> takeChanges() { return m_waves.takeChanges(); }
     /// Something is under way, so that the list is worth reading again soon.
     bool isChanging() const { return m_book.hasOpenOrders(); }
--- a/Source/Core/Capacity/PoolSizer.cpp
+++ b/Source/Core/Capacity/PoolSizer.cpp
@@ -36,6 +36,7 @@
 std::map<Common::pool_id, pool_sizer::pool_state> pool_sizer::survey(const Rules::fleet_rules& rules,
     instance_book& book, Dispatch::dispatcher& dispatcher, Common::instant now)
 {
+    m_lastSurvey.clear();
     std::map<Common::pool_id, pool_state> pools;
     std::map<Common::pool_id, Jobs::resources> sizes;
     for (const auto& pool : rules.pools)
@@ -61,7 +62,13 @@
     for (const auto& rule : rules.pools) {
         auto& pool = pools[rule.id];
         const auto size = sizes.contains(rule.id) ? sizes[rule.id] : anySize;
-        pool.wanted = rule.isSpare ? 0 : wantedIn(dispatcher.demandOf(rule.id), size);
+        pool.demand = dispatcher.demandOf(rule.id);
+        pool.wanted = rule.isSpare ? 0 : wantedIn(pool.demand, size);
+        m_lastSurvey.push_back({ .pool = rule.id,
+            .wanted = pool.wanted,
+            .present = pool.present,
+            .idle = static_cast<int>(pool.idle.size()),
+            .demand = pool.demand });
     }
     return pools;
 }
--- a/Source/Core/Capacity/PoolSizer.h
+++ b/Source/Core/Capacity/PoolSizer.h
@@ -6,6 +6,15 @@
 
 namespace Capacity {
 
+/// What the last plan saw of a pool.
+struct pool_survey {
+    Common::pool_id pool;
+    int wanted { 0 };
+    int present { 0 };
+    int idle { 0 };
+    Dispatch::pool_demand demand;
+};
+
 struct sizer_options {
     /// Room beyond what is asked for, as a share of it.
     double headroom { 0.1 };
@@ -23,6 +32,7 @@
     explicit pool_sizer(const sizer_options&);
 
     void plan(const Rules::fleet_rules&, instance_book&, Dispatch::dispatcher&, Common::instant now, capacity_orders&);
+    const std::vector<pool_survey>& lastSurvey() const { return m_lastSurvey; }
     void onMove(instance_book&, const move_order&, instance_outcome, Common::instant now);
 
 private:
@@ -30,6 +40,7 @@
         int wanted { 0 };
         int present { 0 };
         std::vector<instance_record*> idle;
+        Dispatch::pool_demand demand;
     };
 
     std::map<Common::pool_id, pool_state> survey(const Rules::fleet_rules&, instance_book&, Dispatch::dispatcher&,
@@ -38,6 +49,7 @@
     bool move(instance_record&, const Common::pool_id&, Dispatch::dispatcher&, Common::instant now, capacity_orders&);
 
     sizer_options m_options;
+    std::vector<pool_survey> m_lastSurvey;
     /// Since when a pool has had more than it wants.
     std::map<Common::pool_id, Common::instant> m_surplusSince;
     /// Pools that the manager says are of other instances.
--- a/Source/Core/Station/FleetRun.cpp
+++ b/Source/Core/Station/FleetRun.cpp
@@ -10,6 +10,8 @@
     /// Pause between two readings of the list, while nothing changes and while something does.
     constexpr Common::millis calmListPause { 1000 };
     constexpr Common::millis busyListPause { 250 };
+    /// Shortest time between two reports of the pools in the log.
+    constexpr Common::millis reportInterval { 1000 };
     constexpr Common::millis instanceTimeout { 1500 };
     constexpr Common::millis statusTimeout { 1000 };
     constexpr Common::millis statusRetry { 200 };
@@ -86,6 +88,22 @@
     m_plannedAt = now;
     carryOut(m_planner.plan(m_dispatcher, now));
     showChanges();
+    reportPools(now);
+}
+
+void fleet_run::reportPools(Common::instant now)
+{
+    if (now - m_reportedAt < reportInterval)
+        return;
+    m_reportedAt = now;
+    const auto cores = [](const Jobs::resources& amount) { return std::to_string(amount.processor.value / 1000); };
+    for (const auto& pool : m_planner.lastSurvey()) {
+        Common::writeEvent(Common::log_level::Info, Common::log_category::Capacity, "pool",
+            { { "pool", pool.pool.value }, { "wanted", std::to_string(pool.wanted) },
+                { "present", std::to_string(pool.present) }, { "idle", std::to_string(pool.idle) },
+                { "running_cores", cores(pool.demand.running) }, { "waiting_cores", cores(pool.demand.waiting) },
+                { "later_cores", cores(pool.demand.later) } });
+    }
 }
 
 void fleet_run::carryOut(const Capacity::capacity_orders& orders)
--- a/Source/Core/Station/FleetRun.h
+++ b/Source/Core/Station/FleetRun.h
@@ -38,6 +38,7 @@
 private:
     void readList();
     void carryOut(const Capacity::capacity_orders&);
+    void reportPools(Common::instant now);
     void showChanges();
     void showStatus(const Capacity::wave_status&);
 
@@ -47,6 +48,7 @@
     wave_keeper m_keep;
     Capacity::capacity_planner m_planner;
     Common::instant m_plannedAt;
+    Common::instant m_reportedAt;
     /// Last state that operators were shown of each wave.
     std::map<std::int64_t, bool> m_shown;
     bool m_isOver { false };
