Jobs that can't end on time any more run in what the others leave

Cause: with more work than room, the order by due time spends it on jobs that are late already, which are worth a fifteenth. Change: jobs whose remaining chain, at a fifth of the estimate, ends after their due time go last.

--- a/Source/Core/Dispatch/Dispatcher.cpp
+++ b/Source/Core/Dispatch/Dispatcher.cpp
@@ -1,6 +1,7 @@
 #include "Dispatch/Dispatcher.h"
 
 #include <algorithm>
+#include <tuple>
 
 namespace Dispatch {
 
@@ -10,6 +11,8 @@
     constexpr Common::millis holdWait { 1000 };
     /// A stop without an answer is sent again after this time.
     constexpr Common::millis stopRepeat { 300 };
+    /// Tasks take at least this share of their estimates.
+    constexpr double leastShareOfEstimate = 0.2;
     /// A worker stands in the list of instances this long after it registered at the latest.
     constexpr Common::millis rosterLag { 2000 };
     /// Fillers are slowed when a serving task comes this near to its target, and sped up below the second share.
@@ -148,7 +151,8 @@
     return open;
 }
 
-std::vector<open_job*> dispatcher::jobsInOrder(const Common::pool_id& pool, Common::instant now)
+std::vector<open_job*> dispatcher::jobsInOrder(
+    const Common::pool_id& pool, Common::instant now, Common::wall_millis wall)
 {
     const bool isOpen = isPoolOpen(pool, now);
     std::vector<open_job*> jobs;
@@ -159,11 +163,21 @@
         if (isOpen || m_freshJobs.contains(id))
             jobs.push_back(job.get());
     }
-    const auto key = [this](const open_job* job) {
-        return std::make_tuple(queueOf(*job)->priority, !job->hasLastingTasks(), job->dueAt, job->record().id);
+    // A job that can't end on time any more is worth little: it runs in what the others leave.
+    const auto isTooLate = [wall](const open_job& job) {
+        const auto least = static_cast<double>(job.remainingChain().count()) * leastShareOfEstimate;
+        return wall.value + static_cast<std::int64_t>(least) > job.dueAt.value;
     };
-    std::sort(jobs.begin(), jobs.end(),
-        [&key](const open_job* left, const open_job* right) { return key(left) < key(right); });
+    using rank = std::tuple<bool, bool, int, Common::wall_millis, Common::job_id>;
+    std::vector<std::pair<rank, open_job*>> ranked;
+    for (auto* job : jobs) {
+        const bool isLasting = job->hasLastingTasks();
+        ranked.push_back({ { !isLasting, !isLasting && isTooLate(*job), queueOf(*job)->priority, job->dueAt,
+                               job->record().id },
+            job });
+    }
+    std::sort(ranked.begin(), ranked.end());
+    std::transform(ranked.begin(), ranked.end(), jobs.begin(), [](const auto& entry) { return entry.second; });
     return jobs;
 }
 
@@ -179,7 +193,7 @@
     planStops(now, orders);
     for (const auto& pool : m_rules.pools) {
         if (standing != holder_standing::Unconfirmed)
-            planStarts(pool.id, now, orders);
+            planStarts(pool.id, now, wall, orders);
     }
     planHolds(now, standing, orders);
     planPaces(orders);
@@ -205,12 +219,13 @@
     }
 }
 
-void dispatcher::planStarts(const Common::pool_id& pool, Common::instant now, dispatch_orders& orders)
+void dispatcher::planStarts(
+    const Common::pool_id& pool, Common::instant now, Common::wall_millis wall, dispatch_orders& orders)
 {
     const auto workers = openWorkers(pool, now);
     if (workers.empty())
         return;
-    for (auto* job : jobsInOrder(pool, now)) {
+    for (auto* job : jobsInOrder(pool, now, wall)) {
         for (auto& [number, occurrence] : job->occurrences()) {
             for (int step = 0; step < static_cast<int>(occurrence.steps.size()); ++step) {
                 const auto& state = occurrence.steps[static_cast<std::size_t>(step)];
--- a/Source/Core/Dispatch/Dispatcher.h
+++ b/Source/Core/Dispatch/Dispatcher.h
@@ -137,10 +137,10 @@
     const Rules::queue_rule* queueOf(const open_job&) const;
     bool isPoolOpen(const Common::pool_id&, Common::instant now) const;
     std::vector<worker_state*> openWorkers(const Common::pool_id&, Common::instant now);
-    std::vector<open_job*> jobsInOrder(const Common::pool_id&, Common::instant now);
+    std::vector<open_job*> jobsInOrder(const Common::pool_id&, Common::instant now, Common::wall_millis wall);
 
     void expire(Common::instant now);
-    void planStarts(const Common::pool_id&, Common::instant now, dispatch_orders&);
+    void planStarts(const Common::pool_id&, Common::instant now, Common::wall_millis wall, dispatch_orders&);
     void planStep(open_job&, int occurrence, int step, const std::vector<worker_state*>&, Common::instant now,
         dispatch_orders&);
     void planGang(open_job&, int occurrence, int step, const std::vector<worker_state*>&, Common::instant now,
--- a/Source/Core/Dispatch/OpenJob.cpp
+++ b/Source/Core/Dispatch/OpenJob.cpp
@@ -152,7 +152,15 @@
     return progress;
 }
 
-Common::millis longestChain(const Jobs::job_spec& spec)
+Common::millis open_job::remainingChain() const
+{
+    Common::millis longest { 0 };
+    for (const auto& [number, occurrence] : m_occurrences)
+        longest = std::max(longest, longestChain(m_record.spec, &occurrence));
+    return longest;
+}
+
+Common::millis longestChain(const Jobs::job_spec& spec, const occurrence_state* done)
 {
     std::vector<Common::millis> ends(spec.steps.size(), Common::millis(0));
     Common::millis longest { 0 };
@@ -162,7 +170,8 @@
             if (earlier >= 0 && earlier < static_cast<int>(step))
                 begin = std::max(begin, ends[static_cast<std::size_t>(earlier)]);
         }
-        ends[step] = begin + spec.steps[step].estimate;
+        const bool isDone = done && done->steps[step].isDone();
+        ends[step] = begin + (isDone ? Common::millis(0) : spec.steps[step].estimate);
         longest = std::max(longest, ends[step]);
     }
     return longest;
--- a/Source/Core/Dispatch/OpenJob.h
+++ b/Source/Core/Dispatch/OpenJob.h
@@ -59,6 +59,8 @@
     bool isReady(const occurrence_state&, int step) const;
     bool isComplete() const;
     bool hasLastingTasks() const;
+    /// Longest chain of estimated work through the steps that aren't done, over all open occurrences.
+    Common::millis remainingChain() const;
 
     void place(const Jobs::task_name&, const Common::worker_id&, run_number);
     /// Back to waiting, not before `notBefore`.
@@ -82,8 +84,8 @@
     std::map<int, occurrence_state> m_occurrences;
 };
 
-/// Longest chain of estimated work through the steps.
-Common::millis longestChain(const Jobs::job_spec&);
+/// Longest chain of estimated work through the steps; of `done` ones, when given, none is left.
+Common::millis longestChain(const Jobs::job_spec&, const occurrence_state* done = nullptr);
 
 /// Name of a task's step, for look-ups over its tasks.
 Jobs::task_name taskAt(const Jobs::job_record&, int occurrence, int step, std::size_t index);
