Submissions go to four partitions, and a lost holder is noticed in a second

Cause: with the store slow by 60 times each append takes 180 ms of its partition, so nine submitters on one partition waited beyond their callers' deadlines; a holder without the store kept its seat for 1.5 s and more. Change: intake in four partitions; views of it may lag 0.9 s, since unknown jobs are looked up; membership of 1 s with joins each 250 ms; ends are looked for again after 100 ms while the log is slow.

--- a/Source/Core/Dispatch/DispatcherEvents.cpp
+++ b/Source/Core/Dispatch/DispatcherEvents.cpp
@@ -20,7 +20,7 @@
     /// Pause before a lasting task that ended is started again.
     constexpr Common::millis lastingPause { 150 };
     /// Ends that aren't stored yet are listed again; the next look waits for the log for so long.
-    constexpr Common::millis commitPatience { 300 };
+    constexpr Common::millis commitPatience { 100 };
 
 }
 
--- a/Source/Core/Records/TopicFollower.cpp
+++ b/Source/Core/Records/TopicFollower.cpp
@@ -88,11 +88,30 @@
     if (!isLoop)
         return;
     if (isNews)
-        m_timers.after(m_options.gap, [self = shared_from_this()] { self->readOn(); });
+        pause();
     else
         readOn();
 }
 
+void topic_follower::pause()
+{
+    m_isPausing = true;
+    m_timers.after(m_options.gap, [self = shared_from_this(), number = ++m_pauses] {
+        if (self->m_isPausing && self->m_pauses == number) {
+            self->m_isPausing = false;
+            self->readOn();
+        }
+    });
+}
+
+void topic_follower::setGap(Common::millis gap)
+{
+    const bool isShorter = gap < m_options.gap;
+    m_options.gap = gap;
+    if (isShorter && std::exchange(m_isPausing, false))
+        readOn();
+}
+
 void topic_follower::applyAll(const read_result& result)
 {
     for (const auto& record : result.records) {
--- a/Source/Core/Records/TopicFollower.h
+++ b/Source/Core/Records/TopicFollower.h
@@ -35,7 +35,8 @@
     topic_follower(record_store&, timer_service&, const follower_options&, record_sink&);
 
     void start();
-    void setGap(Common::millis gap) { m_options.gap = gap; }
+    /// A shorter gap takes effect at once.
+    void setGap(Common::millis gap);
     /// Calls back once a read that began no earlier than now has reached the end, or with false after `limit`.
     void refresh(Common::millis limit, std::function<void(bool)> action);
     /// When the read began that last confirmed the end. Empty before the first.
@@ -57,6 +58,7 @@
     void onRead(const read_result&, Common::instant began, bool isLoop);
     void applyAll(const read_result&);
     void confirm(Common::instant began);
+    void pause();
     void retryLater();
     void readForBarriers();
 
@@ -68,6 +70,9 @@
     std::optional<Common::log_offset> m_listedEnd;
     Common::log_offset m_next;
     bool m_isFollowing { false };
+    bool m_isPausing { false };
+    /// Grows with each pause, so that the timer of one that was cut short does nothing.
+    std::uint64_t m_pauses { 0 };
     bool m_isBarrierReadOpen { false };
     std::optional<Common::instant> m_confirmedAt;
     std::vector<std::shared_ptr<barrier>> m_barriers;
--- a/Source/Core/Station/CallerDesk.h
+++ b/Source/Core/Station/CallerDesk.h
@@ -4,7 +4,7 @@
 #include "EventLoop/HttpMessages.h"
 #include "Jobs/JobBook.h"
 #include "Records/BatchAppender.h"
-#include "Records/TopicFollower.h"
+#include "Records/FollowerGroup.h"
 #include "Station/Counters.h"
 
 #include <memory>
@@ -24,7 +24,7 @@
     Records::timer_service& timers;
     Jobs::job_book& book;
     Records::topic_follower& operators;
-    Records::topic_follower& intake;
+    Records::follower_group& intake;
     Records::batch_appender& appender;
     const caller_format& format;
     counters& figures;
--- a/Source/Core/Station/EntryStation.cpp
+++ b/Source/Core/Station/EntryStation.cpp
@@ -1,5 +1,6 @@
 #include "Station/EntryStation.h"
 
+#include "Common/Hashing.h"
 #include "Common/Logging.h"
 
 namespace Station {
@@ -7,8 +8,12 @@
 namespace {
 
     /// Shortest time between reads of the jobs' topics, for the holder and for the others.
-    constexpr Common::millis holderGap { 15 };
-    constexpr Common::millis viewGap { 250 };
+    constexpr Common::millis holderGap { 20 };
+    constexpr Common::millis progressGap { 200 };
+    /// A job that isn't known is looked for in the store, so a view of the intake may lag.
+    constexpr Common::millis intakeGap { 900 };
+    /// A slow store takes appends to one partition one after the other, so submitters are spread over some.
+    constexpr int intakeParts = 4;
     constexpr Common::millis workerGap { 400 };
     constexpr Common::millis operatorGap { 20 };
     constexpr Common::millis followWait { 1000 };
@@ -19,7 +24,7 @@
     constexpr Common::millis storePatience { 2300 };
     /// How long a new holder waits for the store before it gives its seat up.
     constexpr Common::millis tenurePatience { 2000 };
-    constexpr Common::millis seatTimeToLive { 1500 };
+    constexpr Common::millis seatTimeToLive { 1000 };
     /// The balancer looks once a second and takes an instance out after two misses.
     constexpr Common::millis balancerGrace { 2500 };
     constexpr Common::millis retirePoll { 50 };
@@ -57,7 +62,7 @@
 std::shared_ptr<Records::topic_follower> entry_station::follow(
     const Records::topic_part& where, Common::millis gap, Records::record_sink& sink)
 {
-    const bool isJobs = where == m_parts.topics.intake || where == m_parts.topics.progress;
+    const bool isJobs = where.topic == m_parts.topics.intake.topic || where == m_parts.topics.progress;
     auto follower = std::make_shared<Records::topic_follower>(m_parts.store, *m_timers,
         Records::follower_options { .where = where, .gap = gap, .wait = isJobs ? jobWait : followWait }, sink);
     follower->start();
@@ -68,11 +73,15 @@
 {
     m_operators = follow(m_parts.topics.operators, operatorGap, operatorFeed);
     m_workerList = follow(m_parts.topics.workers, workerGap, workerFeed);
-    m_intake = follow(m_parts.topics.intake, viewGap, m_intakeFeed);
-    m_progress = follow(m_parts.topics.progress, viewGap, m_progressFeed);
+    std::vector<std::shared_ptr<Records::topic_follower>> intakes;
+    for (int part = 0; part < intakeParts; ++part)
+        intakes.push_back(follow({ m_parts.topics.intake.topic, part }, intakeGap, m_intakeFeed));
+    m_intake = std::make_unique<Records::follower_group>(std::move(intakes));
+    m_progress = follow(m_parts.topics.progress, progressGap, m_progressFeed);
+    const auto ownPart = static_cast<int>(Common::rendezvousRank(m_parts.topics.intake.topic, m_member) % intakeParts);
     m_appender = std::make_shared<Records::batch_appender>(m_parts.store, *m_timers,
         Records::appender_options {
-            .where = m_parts.topics.intake, .writer = m_member, .giveUpAfter = storePatience });
+            .where = { m_parts.topics.intake.topic, ownPart }, .writer = m_member, .giveUpAfter = storePatience });
     m_desk = std::make_unique<caller_desk>(caller_desk_parts { .timers = *m_timers,
         .book = m_book,
         .operators = *m_operators,
@@ -169,7 +178,7 @@
     if (m_run)
         m_run->stop();
     m_run.reset();
-    m_intake->setGap(viewGap);
+    m_intake->setGap(intakeGap);
     m_seat->vacate();
 }
 
--- a/Source/Core/Station/EntryStation.h
+++ b/Source/Core/Station/EntryStation.h
@@ -2,6 +2,7 @@
 
 #include "EventLoop/EventLoop.h"
 #include "EventLoop/HttpListener.h"
+#include "Records/FollowerGroup.h"
 #include "Station/CallerDesk.h"
 #include "Station/Feeds.h"
 #include "Station/HolderRun.h"
@@ -75,7 +76,7 @@
     progress_feed m_progressFeed;
     std::shared_ptr<Records::topic_follower> m_operators;
     std::shared_ptr<Records::topic_follower> m_workerList;
-    std::shared_ptr<Records::topic_follower> m_intake;
+    std::unique_ptr<Records::follower_group> m_intake;
     std::shared_ptr<Records::topic_follower> m_progress;
     std::shared_ptr<Records::batch_appender> m_appender;
     std::shared_ptr<holder_seat> m_seat;
--- a/Source/Core/Station/HolderSeat.cpp
+++ b/Source/Core/Station/HolderSeat.cpp
@@ -8,8 +8,8 @@
 
 namespace {
 
-    constexpr Common::millis joinInterval { 350 };
-    constexpr Common::millis joinTimeout { 900 };
+    constexpr Common::millis joinInterval { 250 };
+    constexpr Common::millis joinTimeout { 500 };
     /// A join that takes longer puts the store's health in doubt.
     constexpr Common::millis slowJoin { 200 };
     constexpr Common::millis claimTimeout { 1200 };
