The holder outlasts an outage of the store, and refusals come at once

Cause: the holder stopped starting a second after the store went silent, though nobody could take over; calls were held for 1.2 s or 2.3 s before a refusal that was certain at once. Change: without the store the holder goes on with the jobs it knows while no lease outlasts what the next holder waits; calls wait 0.3 s for a view that is too old and 0.25 s for a store that refuses. Leases of 3 s, looked after twice a second, so that lost workers free their tasks sooner.

--- a/Source/Core/Dispatch/Dispatcher.cpp
+++ b/Source/Core/Dispatch/Dispatcher.cpp
@@ -8,7 +8,7 @@
 namespace {
 
     /// Longest wait of a look at a worker on which something runs; a lease outlasts several.
-    constexpr Common::millis holdWait { 1000 };
+    constexpr Common::millis holdWait { 500 };
     /// A stop without an answer is sent again after this time.
     constexpr Common::millis stopRepeat { 300 };
     /// Tasks take at least this share of their estimates.
@@ -106,6 +106,7 @@
     const auto latency = queue ? queue->latencyTarget : Common::millis(0);
     const auto chain = static_cast<double>(longestChain(record.spec).count());
     job->dueAt.value = record.acceptedAt.value + static_cast<std::int64_t>(stretch * chain) + latency.count();
+    job->addedAt = now;
     if (now > m_takenOverAt + m_options.overlap)
         m_freshJobs.insert(record.id.value);
     m_jobs.emplace(record.id.value, std::move(job));
@@ -160,7 +161,7 @@
         const auto* queue = queueOf(*job);
         if (!queue || queue->pool != pool || Jobs::isFinal(job->state))
             continue;
-        if (isOpen || m_freshJobs.contains(id))
+        if (job->addedAt <= m_knownUntil && (isOpen || m_freshJobs.contains(id)))
             jobs.push_back(job.get());
     }
     // A job that can't end on time any more is worth little: it runs in what the others leave.
@@ -181,25 +182,40 @@
     return jobs;
 }
 
-dispatch_orders dispatcher::plan(Common::instant now, Common::wall_millis wall, holder_standing standing)
+dispatch_orders dispatcher::plan(Common::instant now, Common::wall_millis wall, const seat_standing& standing)
 {
     dispatch_orders orders;
     if (m_isFenced)
         return orders;
-    m_grant = standing == holder_standing::InDoubt ? m_options.lease.longestLease : m_options.lease.lease;
+    setGrant(now, standing);
     expire(now);
     for (const auto& [id, job] : m_jobs)
         job->openDue(wall);
     planStops(now, orders);
     for (const auto& pool : m_rules.pools) {
-        if (standing != holder_standing::Unconfirmed)
+        if (m_grant >= m_options.lease.leastGrant)
             planStarts(pool.id, now, wall, orders);
     }
-    planHolds(now, standing, orders);
+    planHolds(now, orders);
     planPaces(orders);
     return orders;
 }
 
+void dispatcher::setGrant(Common::instant now, const seat_standing& standing)
+{
+    const auto& lease = m_options.lease;
+    m_knownUntil = Common::instant::max();
+    m_grant = Common::millis(0);
+    if (!standing.isHeld)
+        return;
+    if (standing.isConfirmed(now) && !standing.isInDoubt) {
+        m_grant = lease.lease;
+        return;
+    }
+    m_knownUntil = standing.confirmedUntil;
+    m_grant = std::min(lease.longestLease, Common::elapsed(now, standing.confirmedUntil + lease.longestLease));
+}
+
 void dispatcher::expire(Common::instant now)
 {
     for (auto entry = m_workers.begin(); entry != m_workers.end();) {
@@ -356,7 +372,7 @@
     }
 }
 
-void dispatcher::planHolds(Common::instant now, holder_standing standing, dispatch_orders& orders)
+void dispatcher::planHolds(Common::instant now, dispatch_orders& orders)
 {
     for (auto& [id, worker] : m_workers) {
         if (worker.isHoldOpen || now < worker.nextHold || worker.entry.address.port == 0)
@@ -374,7 +390,7 @@
             continue;
         hold_order order { .worker = { worker.entry.id, worker.entry.address }, .noted = worker.notedEnd };
         // A silent worker gets no new time, so that what runs there lapses.
-        const bool isExtended = standing != holder_standing::Unconfirmed && worker.knowsClock()
+        const bool isExtended = m_grant >= m_options.lease.leastGrant && worker.knowsClock()
             && worker.holdsWithoutAnswer == 0 && !worker.runs.empty();
         if (isExtended)
             order.deadline = worker.grant(now, m_grant);
--- a/Source/Core/Dispatch/Dispatcher.h
+++ b/Source/Core/Dispatch/Dispatcher.h
@@ -81,13 +81,16 @@
     Jobs::resources running;
 };
 
-/// How sure the holder is of its seat.
-enum class holder_standing {
-    Confirmed,
-    /// Confirmed, but the store has stopped answering: leases are made as long as they may be.
-    InDoubt,
-    /// Another holder may have taken over: nothing is started, and no lease extended.
-    Unconfirmed
+/// How sure the holder is of its seat. Another holder can have taken over only after `confirmedUntil`; it leaves
+/// alone what it can't see until the longest lease granted before then is over. So the holder may go on for that
+/// time with what it knew by then, as long as no lease outlasts it.
+struct seat_standing {
+    bool isHeld { false };
+    Common::instant confirmedUntil;
+    /// The store has stopped answering.
+    bool isInDoubt { false };
+
+    bool isConfirmed(Common::instant now) const { return isHeld && now < confirmedUntil; }
 };
 
 /// Holder's decisions for the workers and jobs of its pools. Free of threads, sockets and clocks: replies
@@ -109,7 +112,7 @@
     void addJob(const Jobs::job_record&, const Jobs::job_progress&, Common::instant now);
     void cancelJob(const Common::job_id&);
 
-    dispatch_orders plan(Common::instant now, Common::wall_millis wall, holder_standing);
+    dispatch_orders plan(Common::instant now, Common::wall_millis wall, const seat_standing&);
     void onStart(const start_order&, const order_reply&, Common::instant now);
     void onStop(const stop_order&, const order_reply&, Common::instant now);
     void onHold(const hold_order&, const hold_reply&, Common::instant sentAt, Common::instant now);
@@ -148,7 +151,8 @@
     placement_request requestFor(open_job&, int occurrence, int step, std::map<Common::worker_id, int>& counts);
     void start(open_job&, const Jobs::task_name&, worker_state&, run_number, Common::instant now, dispatch_orders&);
     void planStops(Common::instant now, dispatch_orders&);
-    void planHolds(Common::instant now, holder_standing, dispatch_orders&);
+    void setGrant(Common::instant now, const seat_standing&);
+    void planHolds(Common::instant now, dispatch_orders&);
     void planPaces(dispatch_orders&);
 
     task_run& addRun(worker_state&, const Jobs::task_name&, const task_run&);
@@ -186,8 +190,10 @@
     std::map<Common::worker_id, end_number> m_toldEnd;
     /// The workers that an earlier holder may have given orders are known.
     bool m_isRosterKnown { false };
-    /// What an order grants now.
+    /// What an order grants now; below `leastGrant` nothing is started and no lease extended.
     Common::millis m_grant;
+    /// Jobs that came later aren't started now.
+    Common::instant m_knownUntil;
     bool m_isFenced { false };
 };
 
--- a/Source/Core/Dispatch/OpenJob.h
+++ b/Source/Core/Dispatch/OpenJob.h
@@ -72,6 +72,7 @@
     Jobs::job_state state { Jobs::job_state::Pending };
     /// Progress that the log doesn't have yet.
     bool isDirty { false };
+    Common::instant addedAt;
     /// Latest wall-clock time at which the job ends on time; earlier ones go first.
     Common::wall_millis dueAt;
 
--- a/Source/Core/Dispatch/WorkerState.h
+++ b/Source/Core/Dispatch/WorkerState.h
@@ -92,9 +92,11 @@
 /// Bounds and pauses of a holder's dealings with workers.
 struct lease_options {
     /// Time that each order or look grants to what runs on a worker.
-    Common::millis lease { 4000 };
+    Common::millis lease { 3000 };
     /// Granted while the store doesn't answer, so that work outlasts an outage. A new holder reckons with it.
     Common::millis longestLease { 9500 };
+    /// A shorter grant isn't worth a start.
+    Common::millis leastGrant { 1500 };
 };
 
 }
--- a/Source/Core/Records/BatchAppender.cpp
+++ b/Source/Core/Records/BatchAppender.cpp
@@ -73,7 +73,10 @@
 
 bool batch_appender::isOverdue() const
 {
-    return m_options.giveUpAfter && m_timers.now() - m_batchBegan >= *m_options.giveUpAfter;
+    if (!m_options.giveUpAfter)
+        return false;
+    const auto patience = m_mayBeStored ? *m_options.giveUpAfter : m_options.giveUpRefusedAfter;
+    return m_timers.now() - m_batchBegan >= patience;
 }
 
 void batch_appender::onResult(const append_result& result)
--- a/Source/Core/Records/BatchAppender.h
+++ b/Source/Core/Records/BatchAppender.h
@@ -16,6 +16,8 @@
     Common::millis callTimeout { 1000 };
     /// A batch without an answer is sent again for so long. Without a bound it is sent until stored or fenced.
     std::optional<Common::millis> giveUpAfter;
+    /// A batch that was refused each time, so that nothing is stored, is given up after this time already.
+    Common::millis giveUpRefusedAfter { 250 };
     std::size_t mostRecords { 400 };
     std::size_t mostBytes { 1000000 };
 };
--- a/Source/Core/Station/CallerDesk.cpp
+++ b/Source/Core/Station/CallerDesk.cpp
@@ -12,8 +12,9 @@
 
     /// Rules confirmed within this time are fresh.
     constexpr Common::millis freshness { 1800 };
-    /// How long a call waits for a look at the store.
+    /// How long a call waits for a look at the store; shorter when the store hasn't answered lately.
     constexpr Common::millis lookPatience { 1200 };
+    constexpr Common::millis staleLookPatience { 300 };
     /// When a caller may come again after a refusal, in seconds.
     constexpr auto retryAfterSeconds = "1";
 
@@ -45,7 +46,7 @@
         judge(request, respond, false);
         return;
     }
-    m_parts.operators.refresh(lookPatience, [this, request, respond](bool isConfirmed) {
+    m_parts.operators.refresh(staleLookPatience, [this, request, respond](bool isConfirmed) {
         if (isConfirmed)
             judge(request, respond, true);
         else
--- a/Source/Core/Station/EntryStation.cpp
+++ b/Source/Core/Station/EntryStation.cpp
@@ -142,7 +142,7 @@
 void entry_station::readJobsForTenure(const won_seat& won)
 {
     m_intake->refresh(tenurePatience, [this, won](bool isRead) {
-        if (!isRead || m_seat->standing() == Dispatch::holder_standing::Unconfirmed || !m_rules) {
+        if (!isRead || !m_seat->standing().isConfirmed(m_timers->now()) || !m_rules) {
             endTenure();
             return;
         }
--- a/Source/Core/Station/HolderRun.cpp
+++ b/Source/Core/Station/HolderRun.cpp
@@ -141,7 +141,7 @@
 }
 
 void holder_run::start(const std::map<std::int64_t, Capacity::wave_status>& waves,
-    std::function<Dispatch::holder_standing()> standing, std::function<void()> onLost)
+    std::function<Dispatch::seat_standing()> standing, std::function<void()> onLost)
 {
     m_standing = std::move(standing);
     m_onLost = std::move(onLost);
@@ -258,7 +258,7 @@
     const auto standing = m_standing();
     // Instances go first: a worker that is about to leave gets no more starts.
     if (m_fleet)
-        m_fleet->turn(standing != Dispatch::holder_standing::Unconfirmed);
+        m_fleet->turn(standing.isConfirmed(m_parts.timers.now()));
     carryOut(m_dispatcher.plan(m_parts.timers.now(), Common::wallNow(), standing));
     flush();
     if (m_dispatcher.isFenced())
--- a/Source/Core/Station/HolderRun.h
+++ b/Source/Core/Station/HolderRun.h
@@ -39,8 +39,8 @@
     holder_run(const holder_parts&, const holder_tenure&);
 
     /// `standing` tells how sure the seat is at a moment.
-    void start(const std::map<std::int64_t, Capacity::wave_status>& waves, std::function<Dispatch::holder_standing()> standing,
-        std::function<void()> onLost);
+    void start(const std::map<std::int64_t, Capacity::wave_status>& waves,
+        std::function<Dispatch::seat_standing()> standing, std::function<void()> onLost);
     /// Gives no more orders. What runs goes on under its leases.
     void stop();
     bool isOver() const { return m_isOver; }
@@ -76,7 +76,7 @@
     std::shared_ptr<Records::batch_appender> m_appender;
     /// Empty when instances can't be moved or maintained.
     std::shared_ptr<fleet_run> m_fleet;
-    std::function<Dispatch::holder_standing()> m_standing;
+    std::function<Dispatch::seat_standing()> m_standing;
     std::function<void()> m_onLost;
     int m_commitsOpen { 0 };
     bool m_isTurnDue { false };
--- a/Source/Core/Station/HolderSeat.cpp
+++ b/Source/Core/Station/HolderSeat.cpp
@@ -38,13 +38,10 @@
     join();
 }
 
-Dispatch::holder_standing holder_seat::standing() const
+Dispatch::seat_standing holder_seat::standing() const
 {
-    const auto now = m_timers.now();
-    if (!m_isDealtHere || now >= m_confirmedUntil)
-        return Dispatch::holder_standing::Unconfirmed;
-    const bool isLate = m_joinBegan && now - *m_joinBegan > slowJoin;
-    return m_hasFailed || isLate ? Dispatch::holder_standing::InDoubt : Dispatch::holder_standing::Confirmed;
+    const bool isLate = m_joinBegan && m_timers.now() - *m_joinBegan > slowJoin;
+    return { .isHeld = m_isDealtHere, .confirmedUntil = m_confirmedUntil, .isInDoubt = m_hasFailed || isLate };
 }
 
 void holder_seat::vacate() { m_state = seat_state::Idle; }
--- a/Source/Core/Station/HolderSeat.h
+++ b/Source/Core/Station/HolderSeat.h
@@ -32,8 +32,7 @@
 
     /// `onWon` is called after a claim, `onDealtAway` once the group deals the seat elsewhere.
     void start(std::function<void(won_seat)> onWon, std::function<void()> onDealtAway);
-    /// Whether no other process can have been dealt the seat yet, and whether the store still answers.
-    Dispatch::holder_standing standing() const;
+    Dispatch::seat_standing standing() const;
     /// The holder has lost its seat and may claim it again.
     void vacate();
     /// Leaves the group and claims no more.
@@ -46,7 +45,7 @@
         Holding
     };
 
-    bool isConfirmed() const { return standing() != Dispatch::holder_standing::Unconfirmed; }
+    bool isConfirmed() const { return standing().isConfirmed(m_timers.now()); }
     void join();
     void onShare(const std::optional<Records::group_share>&, Common::instant began);
     void claim();
--- a/Source/UnitTests/Core/Dispatch/DispatcherFixture.h
+++ b/Source/UnitTests/Core/Dispatch/DispatcherFixture.h
@@ -53,9 +53,11 @@
         dispatcher.addJob(record, known, now);
     }
 
-    Dispatch::dispatch_orders plan(Dispatch::holder_standing standing = Dispatch::holder_standing::Confirmed)
+    Dispatch::dispatch_orders plan()
     {
         now += stepTime;
+        if (isConfirmed)
+            standing.confirmedUntil = now + std::chrono::milliseconds(850);
         auto orders = dispatcher.plan(now, { now.time_since_epoch().count() / 1000000 }, standing);
         for (const auto& hold : orders.holds)
             openLooks[hold.worker.id] = hold;
@@ -82,10 +84,16 @@
     void join(const Dispatch::worker_entry& entry)
     {
         dispatcher.workerListed(entry, now);
-        for (const auto& order : plan(Dispatch::holder_standing::Unconfirmed).holds)
+        for (const auto& order : plan().holds)
             look(order);
     }
 
+    /// The worker's clock as the dispatcher reckons it.
+    std::chrono::milliseconds dispatcherClock(const std::string& id) const
+    {
+        return std::chrono::milliseconds(dispatcher.workers().at({ id }).clockAt(now).value);
+    }
+
     void accept(const Dispatch::start_order& order)
     {
         auto taken = done();
@@ -107,13 +115,16 @@
     std::optional<Dispatch::hold_order> nextLook(const std::string& id = "w1")
     {
         for (int turn = 0; turn < 200 && !openLooks.contains({ id }); ++turn)
-            plan(Dispatch::holder_standing::Unconfirmed);
+            plan();
         const auto found = openLooks.find({ id });
         return found == openLooks.end() ? std::nullopt : std::optional(found->second);
     }
 
     Common::instant now { std::chrono::seconds(1000) };
     Common::wall_millis bornAt { 1000 };
+    /// The store keeps confirming the seat.
+    bool isConfirmed { true };
+    Dispatch::seat_standing standing { .isHeld = true };
     std::int64_t lastEnd { 0 };
     std::map<Common::worker_id, Dispatch::hold_order> openLooks;
     std::vector<Dispatch::dispatch_event> events;
