Pools share scarce instances, and late work takes what is left

Cause 1: the pool that came first took all instances for a backlog that was late already, while another pool's fresh jobs starved. Cause 2: a new holder took workers of moved instances, which stand in the register for some seconds more, for unreachable, and kept their pools closed for ten seconds. Change: what pools want is split into work that can be on time and work that can't; too few instances are shared in proportion, busy ones are emptied for pools that lack; a silent worker that no instance runs has ended, at once when the register has shown it for two seconds.

--- a/Source/Core/Capacity/CapacityPlanner.cpp
+++ b/Source/Core/Capacity/CapacityPlanner.cpp
@@ -13,7 +13,7 @@
 }
 
 void capacity_planner::onList(const std::vector<instance_entry>& list, Dispatch::dispatcher& dispatcher,
-    Common::instant began, Common::instant now)
+    Common::instant began, Common::instant now, Common::wall_millis wall)
 {
     m_book.update(list, began);
     std::map<Common::worker_id, Common::pool_id> roster;
@@ -21,15 +21,15 @@
         if (!entry.worker.empty())
             roster.emplace(entry.worker, entry.pool);
     }
-    dispatcher.setRoster(roster, began, now);
+    dispatcher.setRoster(roster, began, now, wall);
 }
 
-capacity_orders capacity_planner::plan(Dispatch::dispatcher& dispatcher, Common::instant now)
+capacity_orders capacity_planner::plan(Dispatch::dispatcher& dispatcher, Common::instant now, Common::wall_millis wall)
 {
     capacity_orders orders;
     m_waves.plan(m_book, dispatcher, now, orders);
     repeatUnsettledMoves(now, orders);
-    m_sizer.plan(m_rules, m_book, dispatcher, now, orders);
+    m_sizer.plan(m_rules, m_book, dispatcher, { now, wall }, orders);
     return orders;
 }
 
--- a/Source/Core/Capacity/CapacityPlanner.h
+++ b/Source/Core/Capacity/CapacityPlanner.h
@@ -13,8 +13,9 @@
     void setRules(const Rules::fleet_rules& rules) { m_rules = rules; }
     void setWaves(const std::map<std::int64_t, Rules::upkeep_wave>&, Common::instant now);
     void restore(const wave_status& status) { m_waves.restore(status); }
-    void onList(const std::vector<instance_entry>&, Dispatch::dispatcher&, Common::instant began, Common::instant now);
-    capacity_orders plan(Dispatch::dispatcher&, Common::instant now);
+    void onList(const std::vector<instance_entry>&, Dispatch::dispatcher&, Common::instant began, Common::instant now,
+        Common::wall_millis wall);
+    capacity_orders plan(Dispatch::dispatcher&, Common::instant now, Common::wall_millis wall);
     void onMove(const move_order&, instance_outcome, Dispatch::dispatcher&, Common::instant now);
     void onUpkeep(const upkeep_order&, instance_outcome, Common::instant now);
     const std::vector<pool_survey>& lastSurvey() const { return m_sizer.lastSurvey(); }
--- a/Source/Core/Capacity/PoolSizer.cpp
+++ b/Source/Core/Capacity/PoolSizer.cpp
@@ -7,11 +7,25 @@
 
 namespace {
 
+    /// Pause after a move that the manager didn't take.
     constexpr Common::millis refusedPause { 400 };
 
-    int instancesFor(double amount, std::int64_t each)
+    const Dispatch::worker_state* workerOn(const instance_record& record, const Dispatch::dispatcher& dispatcher)
     {
-        return each > 0 ? static_cast<int>(std::ceil(amount / static_cast<double>(each))) : 0;
+        const auto found = dispatcher.workers().find(record.entry.worker);
+        return found == dispatcher.workers().end() ? nullptr : &found->second;
+    }
+
+    bool hasLastingWork(const Dispatch::worker_state& worker)
+    {
+        return std::any_of(worker.runs.begin(), worker.runs.end(),
+            [](const auto& entry) { return entry.second.isLasting || entry.second.isFiller; });
+    }
+
+    std::int64_t usedOn(const instance_record& record, const Dispatch::dispatcher& dispatcher)
+    {
+        const auto* worker = workerOn(record, dispatcher);
+        return worker ? worker->used().processor.value : 0;
     }
 
 }
@@ -21,50 +35,75 @@
 {
 }
 
-int pool_sizer::wantedIn(const Dispatch::pool_demand& demand, const Jobs::resources& instance) const
+int pool_sizer::instancesFor(const Jobs::resources& need, const Jobs::resources& each) const
 {
-    const auto need = [this, &demand](auto part) {
-        const auto now = static_cast<double>(part(demand.running) + part(demand.waiting));
-        return (now + m_options.laterShare * static_cast<double>(part(demand.later))) * (1 + m_options.headroom);
+    const auto count = [this](std::int64_t amount, std::int64_t size) {
+        const auto wanted = static_cast<double>(amount) * (1 + m_options.headroom);
+        return size > 0 ? static_cast<int>(std::ceil(wanted / static_cast<double>(size))) : 0;
     };
-    const double processor = need([](const Jobs::resources& amount) { return amount.processor.value; });
-    const double memory = need([](const Jobs::resources& amount) { return amount.memory.value; });
-    return std::max(instancesFor(processor, instance.processor.value), instancesFor(memory, instance.memory.value))
-        + m_options.reserve;
+    return std::max(count(need.processor.value, each.processor.value), count(need.memory.value, each.memory.value));
 }
 
-std::map<Common::pool_id, pool_sizer::pool_state> pool_sizer::survey(const Rules::fleet_rules& rules,
-    instance_book& book, Dispatch::dispatcher& dispatcher, Common::instant now)
+void pool_sizer::count(
+    instance_record& record, pool_state& pool, Dispatch::dispatcher& dispatcher, Common::instant now)
 {
-    m_lastSurvey.clear();
-    std::map<Common::pool_id, pool_state> pools;
+    if (record.entry.state == instance_state::Down)
+        return;
+    const auto& id = record.entry.id;
+    const bool isUsable = record.entry.state != instance_state::Upkeep && !record.upkeep
+        && !dispatcher.isEvacuated(record.entry.dataCentre);
+    const bool isEmptying = m_emptying.contains(id);
+    if (isUsable && (record.move || !dispatcher.isCordoned(record.entry.worker)))
+        ++pool.present;
+    const bool isOrdered = record.isOrderOpen || record.isUnsettled || record.move || record.upkeep;
+    if (isOrdered || record.entry.state != instance_state::Up || now < record.notBefore)
+        return;
+    const auto* worker = workerOn(record, dispatcher);
+    if (isIdle(record, dispatcher))
+        pool.idle.push_back(&record);
+    else if (worker && !isEmptying && !worker->isCordoned && isUsable && !hasLastingWork(*worker))
+        pool.busy.push_back(&record);
+}
+
+pool_sizer::pool_states pool_sizer::survey(
+    const Rules::fleet_rules& rules, instance_book& book, Dispatch::dispatcher& dispatcher, const moment& when)
+{
+    pool_states pools;
     std::map<Common::pool_id, Jobs::resources> sizes;
-    for (const auto& pool : rules.pools)
-        pools[pool.id];
     Jobs::resources anySize;
+    for (const auto& rule : rules.pools)
+        pools[rule.id].isSpare = rule.isSpare;
     for (auto& [id, record] : book.all()) {
         const auto& target = record.move ? record.move->pool : record.entry.pool;
         const auto pool = pools.find(target);
-        if (pool == pools.end() || record.entry.state == instance_state::Down)
+        if (pool == pools.end())
             continue;
         sizes[target] = record.entry.capacity;
         anySize = record.entry.capacity;
-        const bool isBusy = record.isOrderOpen || record.isUnsettled || record.move || record.upkeep;
-        const bool isUsable = record.entry.state != instance_state::Upkeep && !record.upkeep
-            && !dispatcher.isEvacuated(record.entry.dataCentre);
-        if (isUsable && (record.move || !dispatcher.isCordoned(record.entry.worker)))
-            ++pool->second.present;
-        const bool isMovable = !isBusy && record.entry.state == instance_state::Up && now >= record.notBefore
-            && isIdle(record, dispatcher);
-        if (isMovable)
-            pool->second.idle.push_back(&record);
+        count(record, pool->second, dispatcher, when.now);
     }
-    for (const auto& rule : rules.pools) {
-        auto& pool = pools[rule.id];
-        const auto size = sizes.contains(rule.id) ? sizes[rule.id] : anySize;
-        pool.demand = dispatcher.demandOf(rule.id);
-        pool.wanted = rule.isSpare ? 0 : wantedIn(pool.demand, size);
-        m_lastSurvey.push_back({ .pool = rule.id,
+    std::map<Common::pool_id, int> forLate;
+    for (auto& [id, pool] : pools) {
+        if (pool.isSpare)
+            continue;
+        const auto size = sizes.contains(id) ? sizes[id] : anySize;
+        pool.demand = dispatcher.demandOf(id, when.wall);
+        auto need = pool.demand.running + pool.demand.waiting;
+        const auto part = [this](auto amount) {
+            return decltype(amount) { static_cast<std::int64_t>(static_cast<double>(amount.value) * m_options.laterShare) };
+        };
+        need.processor += part(pool.demand.later.processor);
+        need.memory += part(pool.demand.later.memory);
+        pool.prompt = instancesFor(need, size) + m_options.reserve;
+        forLate[id] = instancesFor(pool.demand.late, size);
+        std::sort(pool.busy.begin(), pool.busy.end(), [&dispatcher](const auto* left, const auto* right) {
+            return usedOn(*left, dispatcher) < usedOn(*right, dispatcher);
+        });
+    }
+    share(pools, forLate);
+    m_lastSurvey.clear();
+    for (const auto& [id, pool] : pools) {
+        m_lastSurvey.push_back({ .pool = id,
             .wanted = pool.wanted,
             .present = pool.present,
             .idle = static_cast<int>(pool.idle.size()),
@@ -73,70 +112,150 @@
     return pools;
 }
 
+void pool_sizer::share(pool_states& pools, const std::map<Common::pool_id, int>& forLate)
+{
+    int total = 0;
+    int prompt = 0;
+    int late = 0;
+    for (const auto& [id, pool] : pools) {
+        total += pool.present;
+        prompt += pool.prompt;
+    }
+    for (const auto& [id, count] : forLate)
+        late += count;
+    const auto part = [](int amount, int room, int asked) {
+        return asked > room ? static_cast<int>(static_cast<std::int64_t>(amount) * std::max(0, room) / asked) : amount;
+    };
+    for (auto& [id, pool] : pools) {
+        if (pool.isSpare)
+            continue;
+        pool.wanted = std::max(1, part(pool.prompt, total, prompt)) + part(forLate.at(id), total - prompt, late);
+    }
+}
+
 void pool_sizer::plan(const Rules::fleet_rules& rules, instance_book& book, Dispatch::dispatcher& dispatcher,
-    Common::instant now, capacity_orders& orders)
+    const moment& when, capacity_orders& orders)
 {
     if (!book.hasList())
         return;
-    const Rules::pool_rule* spare = nullptr;
-    for (const auto& rule : rules.pools)
-        spare = rule.isSpare ? &rule : spare;
-    auto pools = survey(rules, book, dispatcher, now);
-    for (const auto& rule : rules.pools) {
-        auto& pool = pools[rule.id];
-        if (rule.isSpare || pool.present <= pool.wanted)
-            m_surplusSince.erase(rule.id);
+    auto pools = survey(rules, book, dispatcher, when);
+    for (const auto& [id, pool] : pools) {
+        if (pool.isSpare || pool.present <= pool.wanted)
+            m_surplusSince.erase(id);
         else
-            m_surplusSince.emplace(rule.id, now);
+            m_surplusSince.emplace(id, when.now);
     }
-    // First to where work waits: from pools with more than they want, then from the spare pool.
-    std::vector<pool_state*> givers;
-    for (const auto& rule : rules.pools) {
-        if (!rule.isSpare)
-            givers.push_back(&pools[rule.id]);
+    fill(pools, dispatcher, when.now, orders);
+    release(pools, dispatcher, when.now, orders);
+    restore(book, dispatcher);
+    empty(pools, dispatcher);
+}
+
+void pool_sizer::restore(instance_book& book, Dispatch::dispatcher& dispatcher)
+{
+    for (auto id = m_emptying.begin(); id != m_emptying.end();) {
+        const auto* record = book.find(*id);
+        const bool isOver = !record || record->upkeep || record->entry.state != instance_state::Up;
+        if (!isOver && !isIdle(*record, dispatcher)) {
+            ++id;
+            continue;
+        }
+        if (!isOver)
+            dispatcher.setCordoned(record->entry.worker, false);
+        id = m_emptying.erase(id);
+    }
+}
+
+void pool_sizer::fill(
+    pool_states& pools, Dispatch::dispatcher& dispatcher, Common::instant now, capacity_orders& orders)
+{
+    // The pool that has the smallest share of what it wants goes first, instance by instance.
+    while (true) {
+        pool_states::value_type* neediest = nullptr;
+        const auto hasLess = [](const pool_state& left, const pool_state& right) {
+            return left.present * right.wanted < right.present * left.wanted;
+        };
+        for (auto& entry : pools) {
+            if (entry.second.isSpare || entry.second.present >= entry.second.wanted)
+                continue;
+            if (!neediest || hasLess(entry.second, neediest->second))
+                neediest = &entry;
+        }
+        if (!neediest || !takeIdle(pools, neediest->first, dispatcher, now, orders))
+            return;
+        ++neediest->second.present;
     }
-    if (spare)
-        givers.push_back(&pools[spare->id]);
-    const auto takeFrom = [&](const Common::pool_id& taker) {
-        for (auto* giver : givers) {
-            if (giver->present <= giver->wanted || giver == &pools[taker])
+}
+
+bool pool_sizer::takeIdle(pool_states& pools, const Common::pool_id& taker, Dispatch::dispatcher& dispatcher,
+    Common::instant now, capacity_orders& orders)
+{
+    const auto takeFrom = [&](pool_state& giver) {
+        while (!giver.idle.empty()) {
+            auto* record = giver.idle.back();
+            giver.idle.pop_back();
+            const bool wasPresent = !m_emptying.contains(record->entry.id);
+            if (!move(*record, taker, dispatcher, now, orders))
                 continue;
-            while (!giver->idle.empty()) {
-                auto* record = giver->idle.back();
-                giver->idle.pop_back();
-                if (!move(*record, taker, dispatcher, now, orders))
-                    continue;
-                --giver->present;
-                return true;
-            }
+            giver.present -= wasPresent ? 1 : 0;
+            return true;
         }
         return false;
     };
-    for (const auto& rule : rules.pools) {
-        auto& pool = pools[rule.id];
-        while (!rule.isSpare && pool.present < pool.wanted && takeFrom(rule.id))
-            ++pool.present;
+    for (auto& [id, giver] : pools) {
+        const bool hasEmptied = std::any_of(giver.idle.begin(), giver.idle.end(),
+            [this](const auto* record) { return m_emptying.contains(record->entry.id); });
+        if (id != taker && !giver.isSpare && (giver.present > giver.wanted || hasEmptied) && takeFrom(giver))
+            return true;
     }
-    if (!spare)
+    return std::any_of(pools.begin(), pools.end(),
+        [&takeFrom](auto& entry) { return entry.second.isSpare && takeFrom(entry.second); });
+}
+
+void pool_sizer::release(
+    pool_states& pools, Dispatch::dispatcher& dispatcher, Common::instant now, capacity_orders& orders)
+{
+    const auto spare
+        = std::find_if(pools.begin(), pools.end(), [](const auto& entry) { return entry.second.isSpare; });
+    if (spare == pools.end())
         return;
-    for (const auto& rule : rules.pools) {
-        auto& pool = pools[rule.id];
-        const auto since = m_surplusSince.find(rule.id);
+    for (auto& [id, pool] : pools) {
+        const auto since = m_surplusSince.find(id);
         const bool isSettled = since != m_surplusSince.end() && now - since->second >= m_options.patience;
         while (isSettled && pool.present > pool.wanted && !pool.idle.empty()) {
             auto* record = pool.idle.back();
             pool.idle.pop_back();
-            if (move(*record, spare->id, dispatcher, now, orders))
+            if (move(*record, spare->first, dispatcher, now, orders))
                 --pool.present;
         }
     }
 }
 
+void pool_sizer::empty(pool_states& pools, Dispatch::dispatcher& dispatcher)
+{
+    int missing = -static_cast<int>(m_emptying.size());
+    for (const auto& [id, pool] : pools)
+        missing += pool.isSpare ? 0 : std::max(0, pool.wanted - pool.present);
+    for (auto& [id, pool] : pools) {
+        if (pool.isSpare)
+            continue;
+        for (auto* record : pool.busy) {
+            if (missing <= 0 || pool.present <= pool.wanted)
+                break;
+            dispatcher.setCordoned(record->entry.worker, true);
+            m_emptying.insert(record->entry.id);
+            --pool.present;
+            --missing;
+        }
+    }
+}
+
 bool pool_sizer::move(instance_record& record, const Common::pool_id& pool, Dispatch::dispatcher& dispatcher,
     Common::instant now, capacity_orders& orders)
 {
     if (m_unfit.contains({ record.entry.id, pool }))
         return false;
+    m_emptying.erase(record.entry.id);
     dispatcher.setCordoned(record.entry.worker, true);
     record.move = move_order { .instance = record.entry.id, .pool = pool };
     record.isOrderOpen = true;
--- a/Source/Core/Dispatch/Dispatcher.cpp
+++ b/Source/Core/Dispatch/Dispatcher.cpp
@@ -15,6 +15,8 @@
     constexpr double leastShareOfEstimate = 0.2;
     /// A worker stands in the list of instances this long after it registered at the latest.
     constexpr Common::millis rosterLag { 2000 };
+    /// The same by wall clocks, which may differ by some seconds.
+    constexpr Common::millis oldAge { 6000 };
     /// Fillers are slowed when a serving task comes this near to its target, and sped up below the second share.
     constexpr double slowAtShare = 0.85;
     constexpr double hastenBelowShare = 0.6;
@@ -35,12 +37,12 @@
 
 void dispatcher::setEvacuated(std::set<Common::data_centre_id> zones) { m_evacuated = std::move(zones); }
 
-void dispatcher::workerListed(const worker_entry& entry, Common::instant now)
+void dispatcher::workerListed(const worker_entry& entry, Common::instant seenAt, Common::instant now)
 {
     const auto found = m_workers.find(entry.id);
     if (found == m_workers.end()) {
         auto& worker = m_workers.emplace(entry.id, worker_state(entry)).first->second;
-        worker.firstSeenAt = now;
+        worker.firstSeenAt = seenAt;
         // An earlier holder may have granted a lease until just now.
         worker.grant(now, m_options.lease.longestLease);
         return;
@@ -64,7 +66,7 @@
 }
 
 void dispatcher::setRoster(const std::map<Common::worker_id, Common::pool_id>& roster, Common::instant began,
-    Common::instant now)
+    Common::instant now, Common::wall_millis wall)
 {
     for (const auto& [id, pool] : roster) {
         if (m_isRosterKnown || m_workers.contains(id))
@@ -78,7 +80,9 @@
     m_isRosterKnown = true;
     for (auto& [id, worker] : m_workers) {
         const bool isSilent = worker.holdsWithoutAnswer > 0 || !worker.isListed;
-        if (isSilent && !roster.contains(id) && began > worker.firstSeenAt + rosterLag)
+        const bool isOld = began > worker.firstSeenAt + rosterLag
+            || wall.value - worker.entry.bornAt.value > oldAge.count();
+        if (isSilent && !roster.contains(id) && isOld)
             worker.lapseBound = std::min(worker.lapseBound, now);
     }
 }
@@ -152,6 +156,14 @@
     return open;
 }
 
+bool dispatcher::isTooLate(const open_job& job, Common::wall_millis wall)
+{
+    if (job.hasLastingTasks())
+        return false;
+    const auto least = static_cast<double>(job.remainingChain().count()) * leastShareOfEstimate;
+    return wall.value + static_cast<std::int64_t>(least) > job.dueAt.value;
+}
+
 std::vector<open_job*> dispatcher::jobsInOrder(
     const Common::pool_id& pool, Common::instant now, Common::wall_millis wall)
 {
@@ -165,15 +177,11 @@
             jobs.push_back(job.get());
     }
     // A job that can't end on time any more is worth little: it runs in what the others leave.
-    const auto isTooLate = [wall](const open_job& job) {
-        const auto least = static_cast<double>(job.remainingChain().count()) * leastShareOfEstimate;
-        return wall.value + static_cast<std::int64_t>(least) > job.dueAt.value;
-    };
     using rank = std::tuple<bool, bool, int, Common::wall_millis, Common::job_id>;
     std::vector<std::pair<rank, open_job*>> ranked;
     for (auto* job : jobs) {
         const bool isLasting = job->hasLastingTasks();
-        ranked.push_back({ { !isLasting, !isLasting && isTooLate(*job), queueOf(*job)->priority, job->dueAt,
+        ranked.push_back({ { !isLasting, isTooLate(*job, wall), queueOf(*job)->priority, job->dueAt,
                                job->record().id },
             job });
     }
@@ -434,18 +442,14 @@
     }
 }
 
-pool_demand dispatcher::demandOf(const Common::pool_id& pool) const
+pool_demand dispatcher::demandOf(const Common::pool_id& pool, Common::wall_millis wall) const
 {
     pool_demand demand;
-    for (const auto& [id, worker] : m_workers) {
-        if (worker.entry.pool != pool)
-            continue;
-        demand.running += worker.used();
-    }
     for (const auto& [id, job] : m_jobs) {
         const auto* queue = queueOf(*job);
         if (!queue || queue->pool != pool || Jobs::isFinal(job->state))
             continue;
+        const bool isLate = isTooLate(*job, wall);
         for (auto& [number, occurrence] : job->occurrences()) {
             for (std::size_t step = 0; step < occurrence.steps.size(); ++step) {
                 const auto& state = occurrence.steps[step];
@@ -454,7 +458,8 @@
                     continue;
                 const auto open = static_cast<std::int64_t>(state.tasks.size()) - state.done - state.placed;
                 auto& part = job->isReady(occurrence, static_cast<int>(step)) ? demand.waiting : demand.later;
-                part += Jobs::times(spec.request, open);
+                (isLate ? demand.late : part) += Jobs::times(spec.request, open);
+                (isLate ? demand.late : demand.running) += Jobs::times(spec.request, state.placed);
             }
         }
     }
--- a/Source/Core/Dispatch/Dispatcher.h
+++ b/Source/Core/Dispatch/Dispatcher.h
@@ -79,6 +79,8 @@
     Jobs::resources later;
     /// Taken by tasks on workers, fillers aside.
     Jobs::resources running;
+    /// All of the above for jobs that can't end on time any more; they stand in none of the others.
+    Jobs::resources late;
 };
 
 /// How sure the holder is of its seat. Another holder can have taken over only after `confirmedUntil`; it leaves
@@ -101,13 +103,15 @@
 
     void setRules(const Rules::fleet_rules&);
     void setEvacuated(std::set<Common::data_centre_id>);
-    void workerListed(const worker_entry&, Common::instant now);
+    /// `seenAt` is when the register was first seen to have it.
+    void workerListed(const worker_entry&, Common::instant seenAt, Common::instant now);
     void workerUnlisted(const Common::worker_id&);
     bool isEvacuated(const Common::data_centre_id& zone) const { return m_evacuated.contains(zone); }
     bool isCordoned(const Common::worker_id&) const;
     /// Workers that the instances run, with their pools, by a list whose reading began at `began`. A worker that
     /// isn't among them has ended; one that hasn't registered may still run what an earlier holder started.
-    void setRoster(const std::map<Common::worker_id, Common::pool_id>&, Common::instant began, Common::instant now);
+    void setRoster(const std::map<Common::worker_id, Common::pool_id>&, Common::instant began, Common::instant now,
+        Common::wall_millis wall);
     void setCordoned(const Common::worker_id&, bool);
     void addJob(const Jobs::job_record&, const Jobs::job_progress&, Common::instant now);
     void cancelJob(const Common::job_id&);
@@ -125,7 +129,7 @@
     /// Another holder has taken over; no order is to be sent any more.
     bool isFenced() const { return m_isFenced; }
     bool hasJob(const Common::job_id& id) const { return m_jobs.contains(id.value); }
-    pool_demand demandOf(const Common::pool_id&) const;
+    pool_demand demandOf(const Common::pool_id&, Common::wall_millis wall) const;
     const std::map<Common::worker_id, worker_state>& workers() const { return m_workers; }
     /// Stops the lasting tasks of a cordoned worker as far as disruption budgets allow.
     void vacate(const Common::worker_id&);
@@ -163,7 +167,8 @@
     void loseAllRuns(worker_state&, Common::instant now);
     void learn(worker_state&, const order_reply&, Common::instant now);
     bool checkLife(worker_state&, const order_reply&, Common::instant now);
-    void distrust(worker_state&, Common::instant until);
+    static bool isTooLate(const open_job&, Common::wall_millis wall);
+    void distrust(worker_state&, Common::instant now, Common::millis time);
     void handleEnd(worker_state&, const listed_end&, Common::instant now);
     void handleDone(open_job&, const listed_end&);
     void handleFailure(open_job&, worker_state&, const listed_end&, Common::instant now);
--- a/Source/Core/Dispatch/DispatcherEvents.cpp
+++ b/Source/Core/Dispatch/DispatcherEvents.cpp
@@ -67,11 +67,12 @@
         releaseRun(worker, name, now);
 }
 
-void dispatcher::distrust(worker_state& worker, Common::instant until)
+void dispatcher::distrust(worker_state& worker, Common::instant now, Common::millis time)
 {
-    if (until <= worker.distrustedUntil)
+    const bool isNews = now >= worker.distrustedUntil && worker.holdsWithoutAnswer == 0;
+    worker.distrustedUntil = std::max(worker.distrustedUntil, now + time);
+    if (!isNews)
         return;
-    worker.distrustedUntil = until;
     observe({ .kind = dispatch_event_kind::WorkerDistrusted, .worker = worker.entry.id });
 }
 
@@ -142,15 +143,15 @@
         auto unsettled = event;
         unsettled.kind = dispatch_event_kind::StartUnsettled;
         observe(unsettled);
-        distrust(worker, now + silentDistrust);
+        distrust(worker, now, silentDistrust);
         orderStop(worker, order.task);
         return;
     }
     observe(event);
     if (reply.outcome == order_outcome::Unhealthy || reply.outcome == order_outcome::NoRoom)
-        distrust(worker, now + refusalDistrust);
+        distrust(worker, now, refusalDistrust);
     if (reply.outcome == order_outcome::NotSent)
-        distrust(worker, now + silentDistrust);
+        distrust(worker, now, silentDistrust);
     releaseRun(worker, order.task, now + (reply.outcome == order_outcome::Invalid ? silentDistrust : Common::millis(0)));
 }
 
@@ -201,7 +202,7 @@
                 .worker = worker.entry.id,
                 .outcome = reply.base.outcome });
         worker.nextHold = now + silentPause;
-        distrust(worker, now + silentDistrust);
+        distrust(worker, now, silentDistrust);
         return;
     }
     worker.holdsWithoutAnswer = 0;
@@ -278,7 +279,7 @@
 void dispatcher::handleFailure(open_job& job, worker_state& worker, const listed_end& end, Common::instant now)
 {
     if (++worker.failuresInRow >= suspectFailures)
-        distrust(worker, now + failureDistrust);
+        distrust(worker, now, failureDistrust);
     auto* task = job.find(end.task);
     // An end that an earlier holder has counted is listed again until a cursor passes it.
     if (task->phase == task_phase::Done || !task->failedRuns.insert(end.run).second)
@@ -366,7 +367,7 @@
     if (!isStalled)
         return;
     observe({ .kind = dispatch_event_kind::Stalled, .task = name, .worker = worker.entry.id, .run = run.run });
-    distrust(worker, now + failureDistrust);
+    distrust(worker, now, failureDistrust);
     orderStop(worker, name);
 }
 
--- a/Source/Core/Station/EntryStation.cpp
+++ b/Source/Core/Station/EntryStation.cpp
@@ -169,7 +169,7 @@
     run->setEvacuated(m_evacuated);
     run->setWaves(m_waves);
     for (const auto& [id, worker] : m_workers)
-        run->workerListed(worker);
+        run->workerListed(worker.entry, worker.seenAt);
     run->start(m_progressFeed.waves(), [this] { return m_seat->standing(); }, [this] { endTenure(); });
 }
 
@@ -241,9 +241,10 @@
 
 void entry_station::workerListed(const Dispatch::worker_entry& worker)
 {
-    m_workers[worker.id] = worker;
+    auto& known = m_workers.try_emplace(worker.id, registered_worker { .seenAt = m_timers->now() }).first->second;
+    known.entry = worker;
     if (m_run)
-        m_run->workerListed(worker);
+        m_run->workerListed(worker, known.seenAt);
 }
 
 void entry_station::workerUnlisted(const Common::worker_id& id)
--- a/Source/Core/Station/EntryStation.h
+++ b/Source/Core/Station/EntryStation.h
@@ -55,6 +55,10 @@
 
 private:
     struct loop_timers;
+    struct registered_worker {
+        Dispatch::worker_entry entry;
+        Common::instant seenAt;
+    };
 
     bool isReady() const;
     void answerReadiness(const EventLoop::http_request&, const EventLoop::responder&) const;
@@ -87,7 +91,7 @@
     std::optional<Rules::fleet_rules> m_rules;
     std::set<Common::data_centre_id> m_evacuated;
     std::map<std::int64_t, Rules::upkeep_wave> m_waves;
-    std::map<Common::worker_id, Dispatch::worker_entry> m_workers;
+    std::map<Common::worker_id, registered_worker> m_workers;
     bool m_isRetiring { false };
     Common::instant m_retiringSince;
 };
--- a/Source/Core/Station/FleetRun.cpp
+++ b/Source/Core/Station/FleetRun.cpp
@@ -74,7 +74,7 @@
             if (self->m_isOver)
                 return;
             if (list)
-                self->m_planner.onList(*list, self->m_dispatcher, began, self->m_parts.timers.now());
+                self->m_planner.onList(*list, self->m_dispatcher, began, self->m_parts.timers.now(), Common::wallNow());
             const auto pause = self->m_planner.isChanging() ? busyListPause : calmListPause;
             self->m_parts.timers.after(pause, [self] { self->readList(); });
         });
@@ -86,7 +86,7 @@
     if (m_isOver || !mayOrder || now - m_plannedAt < planInterval)
         return;
     m_plannedAt = now;
-    carryOut(m_planner.plan(m_dispatcher, now));
+    carryOut(m_planner.plan(m_dispatcher, now, Common::wallNow()));
     showChanges();
     reportPools(now);
 }
@@ -102,7 +102,7 @@
             { { "pool", pool.pool.value }, { "wanted", std::to_string(pool.wanted) },
                 { "present", std::to_string(pool.present) }, { "idle", std::to_string(pool.idle) },
                 { "running_cores", cores(pool.demand.running) }, { "waiting_cores", cores(pool.demand.waiting) },
-                { "later_cores", cores(pool.demand.later) } });
+                { "later_cores", cores(pool.demand.later) }, { "late_cores", cores(pool.demand.late) } });
     }
 }
 
--- a/Source/Core/Station/HolderRun.cpp
+++ b/Source/Core/Station/HolderRun.cpp
@@ -208,9 +208,9 @@
     });
 }
 
-void holder_run::workerListed(const Dispatch::worker_entry& entry)
+void holder_run::workerListed(const Dispatch::worker_entry& entry, Common::instant seenAt)
 {
-    m_dispatcher.workerListed(entry, m_parts.timers.now());
+    m_dispatcher.workerListed(entry, seenAt, m_parts.timers.now());
     wake();
 }
 
--- a/Source/Core/Station/HolderRun.h
+++ b/Source/Core/Station/HolderRun.h
@@ -50,7 +50,7 @@
     void setRules(const Rules::fleet_rules&);
     void setEvacuated(const std::set<Common::data_centre_id>&);
     void setWaves(const std::map<std::int64_t, Rules::upkeep_wave>&);
-    void workerListed(const Dispatch::worker_entry&);
+    void workerListed(const Dispatch::worker_entry&, Common::instant seenAt);
     void workerUnlisted(const Common::worker_id&);
     void jobAccepted(const Common::job_id&);
     void jobCancelled(const Common::job_id&);
--- a/Source/UnitTests/Core/Dispatch/DispatcherFixture.h
+++ b/Source/UnitTests/Core/Dispatch/DispatcherFixture.h
@@ -16,7 +16,7 @@
         rules.queues = { { .id = { "queue" }, .host = "h", .pathPrefix = "/q/", .pool = { "pool" }, .maxAttempts = 2 } };
         rules.teams = { { .id = { "team" }, .keys = { "key" } } };
         dispatcher.setRules(rules);
-        dispatcher.setRoster({}, now, now);
+        dispatcher.setRoster({}, now, now, wall());
     }
 
     void observe(const Dispatch::dispatch_event& event) override { events.push_back(event); }
@@ -58,12 +58,14 @@
         now += stepTime;
         if (isConfirmed)
             standing.confirmedUntil = now + std::chrono::milliseconds(850);
-        auto orders = dispatcher.plan(now, { now.time_since_epoch().count() / 1000000 }, standing);
+        auto orders = dispatcher.plan(now, wall(), standing);
         for (const auto& hold : orders.holds)
             openLooks[hold.worker.id] = hold;
         return orders;
     }
 
+    Common::wall_millis wall() const { return { now.time_since_epoch().count() / 1000000 }; }
+
     Dispatch::order_reply done() const { return { .clock = Dispatch::worker_millis { 5000 }, .bornAt = bornAt }; }
 
     static Dispatch::order_reply reply(Dispatch::order_outcome outcome) { return { .outcome = outcome }; }
@@ -83,7 +85,7 @@
     /// Lists a worker and answers its first look with nothing running.
     void join(const Dispatch::worker_entry& entry)
     {
-        dispatcher.workerListed(entry, now);
+        dispatcher.workerListed(entry, now, now);
         for (const auto& order : plan().holds)
             look(order);
     }
--- a/Source/UnitTests/Core/Dispatch/DispatcherTest.cpp
+++ b/Source/UnitTests/Core/Dispatch/DispatcherTest.cpp
@@ -66,7 +66,7 @@
     dispatcher_fixture f(20, 1000);
     const Jobs::job_progress known { .state = job_state::Running,
         .tasks = { { .occurrence = 0, .step = 0, .index = 0, .failedRuns = { 1 } } } };
-    f.dispatcher.workerListed(f.worker("w1"), f.now);
+    f.dispatcher.workerListed(f.worker("w1"), f.now, f.now);
     f.add(f.job("j", { f.step(1) }), known);
     const auto look = f.nextLook();
     REQUIRE(look);
@@ -79,8 +79,8 @@
 TEST_CASE("A new holder looks at all workers of a pool before it starts what may run there", "[dispatch]")
 {
     dispatcher_fixture f(20, 1000);
-    f.dispatcher.workerListed(f.worker("w1"), f.now);
-    f.dispatcher.workerListed(f.worker("w2"), f.now);
+    f.dispatcher.workerListed(f.worker("w1"), f.now, f.now);
+    f.dispatcher.workerListed(f.worker("w2"), f.now, f.now);
     f.add(f.job("j", { f.step(1) }));
     const auto holds = f.plan().holds;
     REQUIRE(holds.size() == 2);
@@ -222,8 +222,8 @@
 TEST_CASE("Failed ends count once each, in whatever order they are listed", "[dispatch]")
 {
     dispatcher_fixture f(20, 1000);
-    f.dispatcher.workerListed(f.worker("w1"), f.now);
-    f.dispatcher.workerListed(f.worker("w2"), f.now);
+    f.dispatcher.workerListed(f.worker("w1"), f.now, f.now);
+    f.dispatcher.workerListed(f.worker("w2"), f.now, f.now);
     f.add(f.job("j", { f.step(1) }));
     const Jobs::task_name task { { "j" }, 0, 0, 0 };
     f.look(*f.nextLook("w2"), {}, { { .number = { 1 }, .task = task, .run = { 2 }, .kind = end_kind::Failed } });
@@ -279,7 +279,7 @@
     Dispatch::dispatcher fresh({ .token = { 9 } }, f.now, f);
     fresh.setRules(f.rules);
     fresh.addJob(f.job("j", { f.step(1) }), { .job = { "j" } }, f.now);
-    fresh.workerListed(f.worker("w1"), f.now);
+    fresh.workerListed(f.worker("w1"), f.now, f.now);
     const auto plan = [&] {
         f.now += std::chrono::milliseconds(10);
         return fresh.plan(f.now, { 0 }, { .isHeld = true, .confirmedUntil = f.now + std::chrono::seconds(1) });
@@ -296,14 +296,14 @@
     }
     SECTION("an unregistered worker may run the task until its lease is over")
     {
-        fresh.setRoster({ { { "w1" }, { "pool" } }, { { "w2" }, { "pool" } } }, f.now, f.now);
+        fresh.setRoster({ { { "w1" }, { "pool" } }, { { "w2" }, { "pool" } } }, f.now, f.now, f.wall());
         CHECK(plan().starts.empty());
         f.now += std::chrono::seconds(10);
         CHECK(plan().starts.size() == 1);
     }
     SECTION("with all workers known the task is started")
     {
-        fresh.setRoster({ { { "w1" }, { "pool" } } }, f.now, f.now);
+        fresh.setRoster({ { { "w1" }, { "pool" } } }, f.now, f.now, f.wall());
         CHECK(plan().starts.size() == 1);
     }
 }
@@ -320,6 +320,19 @@
     f.now += std::chrono::milliseconds(2500);
     f.dispatcher.onHold(*f.nextLook(id.value), { .base = f.reply(order_outcome::NoAnswer) }, f.now, f.now);
     CHECK(f.plan().starts.empty());
-    f.dispatcher.setRoster({ { { id.value == "w1" ? "w2" : "w1" }, { "pool" } } }, f.now, f.now);
+    f.dispatcher.setRoster({ { { id.value == "w1" ? "w2" : "w1" }, { "pool" } } }, f.now, f.now, f.wall());
+    CHECK(f.plan().starts.size() == 1);
+}
+
+TEST_CASE("A new holder doesn't wait for registered workers whose instances have moved", "[dispatch]")
+{
+    dispatcher_fixture f(20, 1000);
+    f.dispatcher.workerListed(f.worker("w1"), f.now, f.now);
+    f.dispatcher.workerListed(f.worker("moved"), f.now - std::chrono::seconds(3), f.now);
+    f.add(f.job("j", { f.step(1) }));
+    f.look(*f.nextLook("w1"));
+    f.dispatcher.onHold(*f.nextLook("moved"), { .base = f.reply(order_outcome::NotSent) }, f.now, f.now);
+    CHECK(f.plan().starts.empty());
+    f.dispatcher.setRoster({ { { "w1" }, { "pool" } } }, f.now, f.now, f.wall());
     CHECK(f.plan().starts.size() == 1);
 }
