--- a/Source/Core/Capacity/PoolSizer.cpp
+++ b/Source/Core/Capacity/PoolSizer.cpp
@@ -124,7 +124,9 @@
     for (const auto& [id, count] : forLate)
         late += count;
     const auto part = [](int amount, int room, int asked) {
-        return asked > room ? static_cast<int>(static_cast<std::int64_t>(amount) * std::max(0, room) / asked) : amount;
+        if (asked <= std::max(0, room))
+            return amount;
+        return static_cast<int>(static_cast<std::int64_t>(amount) * std::max(0, room) / asked);
     };
     for (auto& [id, pool] : pools) {
         if (pool.isSpare)
--- a/Source/Core/Dispatch/Dispatcher.cpp
+++ b/Source/Core/Dispatch/Dispatcher.cpp
@@ -22,7 +22,6 @@
     constexpr double hastenBelowShare = 0.6;
     constexpr int paceStep = 10;
 
-
 }
 
 dispatcher::dispatcher(const dispatcher_options& options, Common::instant now, dispatch_observer& observer)
--- a/Source/Core/Station/EntryStation.cpp
+++ b/Source/Core/Station/EntryStation.cpp
@@ -170,7 +170,8 @@
     run->setWaves(m_waves);
     for (const auto& [id, worker] : m_workers)
         run->workerListed(worker.entry, worker.seenAt);
-    run->start(m_progressFeed.waves(), [this] { return m_seat->standing(); }, [this] { endTenure(); });
+    run->start(
+        m_progressFeed.waves(), [this] { return m_seat->standing(); }, [this] { endTenure(); });
 }
 
 void entry_station::endTenure()
@@ -190,7 +191,7 @@
     m_retiringSince = m_timers->now();
     Common::writeEvent(Common::log_level::Info, Common::log_category::Daemon, "retiring", {});
     endTenure();
-    m_seat->leave([] { });
+    m_seat->leave([] {});
     finishRetiring();
 }
 
--- /dev/null
+++ b/Source/UnitTests/Core/Capacity/CapacityTest.cpp
@@ -0,0 +1,207 @@
+#include "../Dispatch/DispatcherFixture.h"
+#include "Capacity/CapacityPlanner.h"
+
+#include <catch2/catch.hpp>
+
+using Capacity::instance_outcome;
+using Capacity::instance_state;
+using Dispatch::end_kind;
+
+namespace {
+
+/// Two pools of workers and a spare pool, with a manager that does as it is told.
+struct fleet_story : dispatcher_fixture {
+    fleet_story()
+    {
+        rules.pools = { { .id = { "pool" } }, { .id = { "other" } }, { .id = { "spare" }, .isSpare = true } };
+        rules.queues.push_back(
+            { .id = { "queue2" }, .host = "h", .pathPrefix = "/r/", .pool = { "other" }, .maxAttempts = 2 });
+        dispatcher.setRules(rules);
+        planner.setRules(rules);
+    }
+
+    void addInstance(const std::string& id, const std::string& pool)
+    {
+        Capacity::instance_entry entry { .id = { id },
+            .pool = { pool },
+            .dataCentre = { "dc" },
+            .capacity = { .processor = { 8000 }, .memory = { 100000 } } };
+        if (pool != "spare") {
+            entry.worker = { "w" + id };
+            auto registered = worker("w" + id);
+            registered.pool = { pool };
+            join(registered);
+        }
+        instances.push_back(entry);
+    }
+
+    void list() { planner.onList(instances, dispatcher, now, now, wall()); }
+
+    Capacity::capacity_orders planFleet()
+    {
+        now += stepTime;
+        return planner.plan(dispatcher, now, wall());
+    }
+
+    std::vector<Capacity::instance_entry> instances;
+    Capacity::capacity_planner planner { Capacity::sizer_options { .headroom = 0, .reserve = 0 } };
+};
+
+Jobs::step_spec lastingStep(int count, int budget)
+{
+    auto step = dispatcher_fixture::step(count);
+    step.isLasting = true;
+    step.mostPerWorker = 1;
+    step.disruptionBudget = budget;
+    return step;
+}
+
+}
+
+TEST_CASE("A wave maintains idle instances at once, no more than may be down", "[capacity]")
+{
+    fleet_story f;
+    for (const auto* id : { "1", "2", "3" })
+        f.addInstance(id, "spare");
+    f.addInstance("p", "pool");
+    f.addInstance("o", "other");
+    f.list();
+    f.planner.setWaves({ { 1, { .number = 1, .instances = { { "1" }, { "2" }, { "3" } }, .duration = std::chrono::seconds(20), .mostAtOnce = 2 } } },
+        f.now);
+    const auto first = f.planFleet().upkeeps;
+    REQUIRE(first.size() == 2);
+    CHECK(f.planFleet().upkeeps.empty());
+    for (const auto& order : first)
+        f.planner.onUpkeep(order, instance_outcome::Done, f.now);
+
+    SECTION("the next begins when one is back")
+    {
+        CHECK(f.planFleet().upkeeps.empty());
+        f.now += std::chrono::seconds(2);
+        f.list();
+        const auto second = f.planFleet().upkeeps;
+        REQUIRE(second.size() == 1);
+        f.planner.onUpkeep(second[0], instance_outcome::Done, f.now);
+        f.planFleet();
+        const auto changes = f.planner.takeChanges();
+        REQUIRE_FALSE(changes.empty());
+        CHECK(changes.back().isCompleted);
+    }
+    SECTION("one without an answer counts as down until it is settled")
+    {
+        f.now += std::chrono::seconds(2);
+        f.list();
+        const auto third = f.planFleet().upkeeps;
+        REQUIRE(third.size() == 1);
+        f.planner.onUpkeep(third[0], instance_outcome::NoAnswer, f.now);
+        f.planFleet();
+        for (const auto& change : f.planner.takeChanges())
+            CHECK_FALSE(change.isCompleted);
+        f.now += std::chrono::seconds(1);
+        CHECK(f.planFleet().upkeeps.size() == 1);
+    }
+    SECTION("a later holder doesn't begin what was begun")
+    {
+        Capacity::capacity_planner next { Capacity::sizer_options {} };
+        next.setRules(f.rules);
+        for (const auto& change : f.planner.takeChanges())
+            next.restore(change);
+        next.setWaves({ { 1, { .number = 1, .instances = { { "1" }, { "2" }, { "3" } }, .duration = std::chrono::seconds(20), .mostAtOnce = 3 } } },
+            f.now);
+        next.onList(f.instances, f.dispatcher, f.now, f.now, f.wall());
+        const auto orders = next.plan(f.dispatcher, f.now, f.wall()).upkeeps;
+        REQUIRE(orders.size() == 1);
+        CHECK(orders[0].instance.value == "3");
+    }
+}
+
+TEST_CASE("A wave empties workers within the disruption budgets of lasting tasks", "[capacity]")
+{
+    fleet_story f;
+    f.addInstance("1", "pool");
+    f.addInstance("2", "pool");
+    f.addInstance("3", "pool");
+    f.list();
+    f.add(f.job("j", { lastingStep(2, 1) }));
+    const auto starts = f.plan().starts;
+    REQUIRE(starts.size() == 2);
+    for (const auto& start : starts) {
+        f.accept(start);
+        f.look(*f.nextLook(start.worker.id.value), { f.listed(start, 100) });
+    }
+    f.planner.setWaves({ { 1, { .number = 1, .instances = { { "1" }, { "2" }, { "3" } }, .duration = std::chrono::seconds(20), .mostAtOnce = 8 } } },
+        f.now);
+    const auto idle = f.planFleet();
+    CHECK(idle.upkeeps.size() == 1);
+    f.planFleet();
+    CHECK(f.plan().stops.size() == 1);
+}
+
+TEST_CASE("Instances follow the work, and go to the spare pool when nobody needs them", "[capacity]")
+{
+    fleet_story f;
+    f.addInstance("1", "pool");
+    f.addInstance("2", "other");
+    f.addInstance("3", "spare");
+    f.list();
+
+    SECTION("from the spare pool to a pool with work that waits")
+    {
+        f.add(f.job("j", { f.step(12) }));
+        f.plan();
+        const auto moves = f.planFleet().moves;
+        REQUIRE_FALSE(moves.empty());
+        CHECK(moves[0].pool.value == "pool");
+    }
+    SECTION("to the spare pool only after a while")
+    {
+        f.addInstance("4", "pool");
+        f.list();
+        CHECK(f.planFleet().moves.empty());
+        f.now += std::chrono::milliseconds(1100);
+        const auto moves = f.planFleet().moves;
+        REQUIRE_FALSE(moves.empty());
+        CHECK(moves[0].pool.value == "spare");
+    }
+    SECTION("a move without an answer is asked again, and the worker stays cordoned")
+    {
+        f.add(f.job("j", { f.step(12) }));
+        f.plan();
+        const auto moves = f.planFleet().moves;
+        REQUIRE_FALSE(moves.empty());
+        f.planner.onMove(moves[0], instance_outcome::NoAnswer, f.dispatcher, f.now);
+        CHECK(f.planFleet().moves.empty());
+        f.now += std::chrono::milliseconds(500);
+        const auto again = f.planFleet().moves;
+        REQUIRE_FALSE(again.empty());
+        CHECK(again[0].instance == moves[0].instance);
+    }
+}
+
+TEST_CASE("Too few instances are shared, and busy ones are emptied for the pool that lacks", "[capacity]")
+{
+    fleet_story f;
+    for (const auto* id : { "1", "2", "3", "4" })
+        f.addInstance(id, "pool");
+    f.addInstance("5", "other");
+    f.list();
+    // All of the first pool is busy for long.
+    auto busy = f.job("j", { f.step(32) });
+    busy.acceptedAt = f.wall();
+    busy.spec.steps[0].estimate = std::chrono::seconds(60);
+    f.add(busy);
+    for (const auto& start : f.plan().starts)
+        f.accept(start);
+    auto waiting = f.job("k", { f.step(24) });
+    waiting.queue = { "queue2" };
+    waiting.acceptedAt = f.wall();
+    waiting.spec.steps[0].estimate = std::chrono::seconds(60);
+    f.add(waiting);
+    f.plan();
+    f.planFleet();
+    int cordoned = 0;
+    for (const auto& [id, worker] : f.dispatcher.workers())
+        cordoned += worker.isCordoned && worker.entry.pool.value == "pool" ? 1 : 0;
+    CHECK(cordoned >= 1);
+    CHECK(cordoned < 4);
+}
--- /dev/null
+++ b/Source/UnitTests/Core/EventLoop/ListenerTest.cpp
@@ -0,0 +1,97 @@
+#include "EventLoop/EventLoop.h"
+#include "EventLoop/HttpClient.h"
+#include "EventLoop/HttpListener.h"
+
+#include <arpa/inet.h>
+#include <catch2/catch.hpp>
+#include <sys/socket.h>
+#include <unistd.h>
+
+namespace {
+
+/// Opens a connection, sends the bytes, and leaves it open.
+int openAndSend(std::uint16_t port, const std::string& bytes)
+{
+    const int handle = ::socket(AF_INET, SOCK_STREAM, 0);
+    sockaddr_in address {};
+    address.sin_family = AF_INET;
+    address.sin_port = htons(port);
+    ::inet_pton(AF_INET, "127.0.0.1", &address.sin_addr);
+    REQUIRE(::connect(handle, reinterpret_cast<sockaddr*>(&address), sizeof address) == 0);
+    REQUIRE(::send(handle, bytes.data(), bytes.size(), MSG_NOSIGNAL) == static_cast<ssize_t>(bytes.size()));
+    return handle;
+}
+
+struct listener_story {
+    listener_story()
+        : listener(loop, { "127.0.0.1", 0 }, {},
+            [](const EventLoop::http_request& request, const EventLoop::responder& respond) {
+                respond({ .status = 200, .body = request.method + ' ' + request.target + ' ' + request.body });
+            })
+    {
+        REQUIRE(listener.start());
+    }
+
+    EventLoop::call_result call(const EventLoop::http_request& request)
+    {
+        EventLoop::http_client client(loop, { .server = { "127.0.0.1", listener.port() } });
+        EventLoop::call_result result;
+        client.call(request, std::chrono::seconds(20), [this, &result](EventLoop::call_result answer) {
+            result = std::move(answer);
+            loop.stop();
+        });
+        loop.run();
+        return result;
+    }
+
+    EventLoop::event_loop loop;
+    EventLoop::http_listener listener;
+};
+
+}
+
+TEST_CASE("Connections that send half a request and stop cost others nothing", "[eventloop]")
+{
+    constexpr int slowCallers = 250;
+    listener_story s;
+    std::vector<int> handles;
+    for (int caller = 0; caller < slowCallers; ++caller)
+        handles.push_back(openAndSend(s.listener.port(), "POST /a HTTP/1.1\r\nHost: h\r\nContent-Length: 100\r\n\r\nhalf"));
+    const auto result = s.call({ .method = "GET", .target = "/ready" });
+    REQUIRE(result.response);
+    CHECK(result.response->status == 200);
+    CHECK(result.response->body == "GET /ready ");
+    CHECK(s.listener.openRequests() == 0);
+    for (const int handle : handles)
+        ::close(handle);
+}
+
+TEST_CASE("A call to a port without a listener was surely not sent", "[eventloop]")
+{
+    EventLoop::event_loop loop;
+    // The port is free again once the probe is gone.
+    std::uint16_t port = 0;
+    {
+        EventLoop::http_listener probe(loop, { "127.0.0.1", 0 }, {}, [](const auto&, const auto&) {});
+        REQUIRE(probe.start());
+        port = probe.port();
+        probe.drain();
+    }
+    EventLoop::http_client client(loop, { .server = { "127.0.0.1", port } });
+    EventLoop::call_result result;
+    client.call({ .method = "GET", .target = "/" }, std::chrono::seconds(20), [&](EventLoop::call_result answer) {
+        result = std::move(answer);
+        loop.stop();
+    });
+    loop.run();
+    CHECK_FALSE(result.response);
+    CHECK(result.failure == EventLoop::call_failure::NotSent);
+}
+
+TEST_CASE("A request that isn't HTTP or is too large is refused", "[eventloop]")
+{
+    listener_story s;
+    const auto tooLarge = s.call({ .method = "POST", .target = "/a", .body = std::string(300000, 'x') });
+    REQUIRE(tooLarge.response);
+    CHECK(tooLarge.response->status == 413);
+}
--- /dev/null
+++ b/Source/UnitTests/Core/Records/BatchAppenderTest.cpp
@@ -0,0 +1,84 @@
+#include "Records/BatchAppender.h"
+#include "FakeStore.h"
+
+#include <catch2/catch.hpp>
+
+using Records::append_outcome;
+
+namespace {
+
+struct appender_story {
+    explicit appender_story(std::optional<Common::millis> giveUpAfter)
+        : store(timers)
+        , appender(std::make_shared<Records::batch_appender>(store, timers,
+              Records::appender_options { .where = topic, .writer = "w", .giveUpAfter = giveUpAfter }))
+    {
+    }
+
+    void add(const std::string& key)
+    {
+        appender->add({ { .key = key, .value = "v" } }, [this](append_outcome outcome) { outcomes.push_back(outcome); });
+    }
+
+    const Records::topic_part topic { "t", 0 };
+    manual_timers timers;
+    fake_store store;
+    std::shared_ptr<Records::batch_appender> appender;
+    std::vector<append_outcome> outcomes;
+};
+
+}
+
+TEST_CASE("What comes while an append is open goes with the next one", "[records]")
+{
+    appender_story s(Common::millis(2000));
+    for (const auto* key : { "a", "b", "c" })
+        s.add(key);
+    s.timers.advance(Common::millis(50));
+    CHECK(s.outcomes == std::vector<append_outcome>(3, append_outcome::Stored));
+    CHECK(s.store.appends == 2);
+}
+
+TEST_CASE("An append whose answer is lost is stored once", "[records]")
+{
+    appender_story s(Common::millis(5000));
+    s.store.state = fake_store::trouble::AnswerLost;
+    s.add("a");
+    s.timers.advance(Common::millis(500));
+    s.store.state = fake_store::trouble::None;
+    s.timers.advance(Common::millis(2000));
+    CHECK(s.outcomes == std::vector { append_outcome::Stored });
+    CHECK(s.store.parts[s.topic].records.size() == 1);
+}
+
+TEST_CASE("A store that refuses is given up soon, one that is silent later", "[records]")
+{
+    appender_story s(Common::millis(2000));
+    SECTION("refused: nothing is stored, and that is said")
+    {
+        s.store.state = fake_store::trouble::Busy;
+        s.add("a");
+        s.timers.advance(Common::millis(500));
+        CHECK(s.outcomes == std::vector { append_outcome::Refused });
+    }
+    SECTION("silent: it may be stored")
+    {
+        s.store.state = fake_store::trouble::Silent;
+        s.add("a");
+        s.timers.advance(Common::millis(4000));
+        CHECK(s.outcomes == std::vector { append_outcome::Unknown });
+        s.store.state = fake_store::trouble::None;
+        s.add("b");
+        s.timers.advance(Common::millis(100));
+        CHECK(s.outcomes.back() == append_outcome::Stored);
+    }
+}
+
+TEST_CASE("A writer that a later one has fenced off learns it", "[records]")
+{
+    appender_story s(std::nullopt);
+    s.store.store({ .where = s.topic, .records = { { .key = "x", .value = "1" } }, .position = Records::writer_position { .writer = "w", .epoch = 9, .sequence = 0 } });
+    s.add("a");
+    s.timers.advance(Common::millis(100));
+    CHECK(s.outcomes == std::vector { append_outcome::Fenced });
+}
--- /dev/null
+++ b/Source/UnitTests/Core/Records/FakeStore.h
@@ -0,0 +1,217 @@
+#pragma once
+
+#include "Records/RecordStore.h"
+
+#include <algorithm>
+#include <deque>
+#include <map>
+#include <memory>
+
+/// Runs timers by hand.
+struct manual_timers : Records::timer_service {
+    void after(Common::millis delay, std::function<void()> action) override
+    {
+        due.emplace(clock + delay, std::move(action));
+    }
+    Common::instant now() const override { return clock; }
+
+    void advance(Common::millis time)
+    {
+        const auto until = clock + time;
+        while (!due.empty() && due.begin()->first <= until) {
+            clock = std::max(clock, due.begin()->first);
+            const auto action = std::move(due.begin()->second);
+            due.erase(due.begin());
+            action();
+        }
+        clock = until;
+    }
+
+    Common::instant clock { std::chrono::seconds(1000) };
+    std::multimap<Common::instant, std::function<void()>> due;
+};
+
+/// A store in memory that answers after a delay, and misbehaves as a test says.
+struct fake_store : Records::record_store {
+    enum class trouble {
+        None,
+        /// Refuses without doing anything.
+        Busy,
+        /// Doesn't carry out and doesn't answer.
+        Silent,
+        /// Carries out, and doesn't answer.
+        AnswerLost
+    };
+
+    struct writer_state {
+        std::int64_t epoch { 0 };
+        std::int64_t sequence { -1 };
+        std::map<std::int64_t, Records::append_result> answers;
+    };
+
+    struct partition {
+        std::deque<Records::keyed_record> records;
+        std::int64_t first { 0 };
+        std::map<std::string, Records::keyed_record> newest;
+        std::map<std::string, writer_state> writers;
+
+        std::int64_t end() const { return first + static_cast<std::int64_t>(records.size()); }
+    };
+
+    explicit fake_store(manual_timers& owner)
+        : timers(owner)
+    {
+    }
+
+    void append(const Records::append_request& request, Common::millis timeout,
+        std::function<void(Records::append_result)> handler) override
+    {
+        ++appends;
+        answer(
+            timeout, handler, [this, request] { return store(request); },
+            Records::append_result { .outcome = Records::append_outcome::Refused },
+            Records::append_result { .outcome = Records::append_outcome::Unknown });
+    }
+
+    void read(const Records::topic_part& where, Common::log_offset from, Common::millis wait, Common::millis timeout,
+        std::function<void(Records::read_result)> handler) override
+    {
+        ++reads;
+        const auto look = [this, where, from] { return readNow(where, from); };
+        const bool isEmpty = parts[where].end() <= from.value;
+        const auto delay = isEmpty && wait.count() > 0 ? wait : Common::millis(0);
+        timers.after(delay, [this, timeout, handler, look] {
+            answer(timeout, handler, look, Records::read_result {}, Records::read_result {});
+        });
+    }
+
+    void newest(const Records::topic_part& where, const std::string& afterKey, Common::millis timeout,
+        std::function<void(Records::newest_result)> handler) override
+    {
+        ++listings;
+        const auto look = [this, where, afterKey] {
+            Records::newest_result result { .isRead = true, .end = { parts[where].end() } };
+            for (const auto& [key, record] : parts[where].newest) {
+                if (key <= afterKey)
+                    continue;
+                if (result.records.size() == pageSize) {
+                    result.hasMore = true;
+                    break;
+                }
+                result.records.push_back(record);
+            }
+            return result;
+        };
+        answer(timeout, handler, look, Records::newest_result {}, Records::newest_result {});
+    }
+
+    void join(const Records::group_request& request, Common::millis timeout,
+        std::function<void(std::optional<Records::group_share>)> handler) override
+    {
+        const auto look = [this, request]() -> std::optional<Records::group_share> {
+            return Records::group_share { .generation = generation,
+                .parts = request.member == owner ? std::vector<int> { 0 } : std::vector<int> {} };
+        };
+        answer(timeout, handler, look, std::optional<Records::group_share> {}, std::optional<Records::group_share> {});
+    }
+
+    void leave(const Records::group_request&, Common::millis, std::function<void()> handler) override { handler(); }
+
+    /// Appends as another writer would.
+    void put(const Records::topic_part& where, const std::string& key, const std::string& value)
+    {
+        store({ .where = where, .records = { { .key = key, .value = value } } });
+    }
+
+    /// Drops all records; the newest of each key stay.
+    void forgetHistory(const Records::topic_part& where)
+    {
+        parts[where].first = parts[where].end();
+        parts[where].records.clear();
+    }
+
+    template <typename Handler, typename Act, typename Result>
+    void answer(Common::millis timeout, Handler handler, Act act, Result refused, Result unanswered)
+    {
+        const auto current = state;
+        if (current == trouble::Silent) {
+            timers.after(timeout, [handler, unanswered] { handler(unanswered); });
+            return;
+        }
+        if (current == trouble::Busy) {
+            timers.after(delay, [handler, refused] { handler(refused); });
+            return;
+        }
+        timers.after(delay, [this, current, timeout, handler, act, unanswered] {
+            const auto result = act();
+            if (current == trouble::AnswerLost)
+                timers.after(timeout, [handler, unanswered] { handler(unanswered); });
+            else
+                handler(result);
+        });
+    }
+
+    Records::append_result store(const Records::append_request& request)
+    {
+        auto& part = parts[request.where];
+        Records::append_result result { .outcome = Records::append_outcome::Stored,
+            .offset = { part.end() },
+            .end = { part.end() } };
+        if (request.position) {
+            auto& writer = part.writers[request.position->writer];
+            if (request.position->epoch < writer.epoch)
+                return { .outcome = Records::append_outcome::Fenced };
+            const bool isNewEpoch = request.position->epoch > writer.epoch;
+            if (!isNewEpoch && writer.answers.contains(request.position->sequence))
+                return writer.answers.at(request.position->sequence);
+            if (!isNewEpoch && request.position->sequence != writer.sequence + 1)
+                return { .outcome = Records::append_outcome::OutOfSequence };
+        }
+        if (request.endsAt && request.endsAt->value != part.end())
+            return { .outcome = Records::append_outcome::OtherEnd, .end = { part.end() } };
+        for (auto record : request.records) {
+            record.offset = { part.end() };
+            part.records.push_back(record);
+            if (record.value.empty())
+                part.newest.erase(record.key);
+            else
+                part.newest[record.key] = record;
+        }
+        result.end = { part.end() };
+        if (request.position) {
+            auto& writer = part.writers[request.position->writer];
+            if (request.position->epoch > writer.epoch)
+                writer.answers.clear();
+            writer.epoch = request.position->epoch;
+            writer.sequence = request.position->sequence;
+            writer.answers[writer.sequence] = result;
+        }
+        return result;
+    }
+
+    Records::read_result readNow(const Records::topic_part& where, Common::log_offset from)
+    {
+        auto& part = parts[where];
+        if (from.value < part.first)
+            return { .outcome = Records::read_outcome::Gone };
+        Records::read_result result { .outcome = Records::read_outcome::Read, .end = { part.end() }, .next = from };
+        for (const auto& record : part.records) {
+            if (record.offset < from)
+                continue;
+            result.records.push_back(record);
+            result.next = { record.offset.value + 1 };
+        }
+        return result;
+    }
+
+    manual_timers& timers;
+    trouble state { trouble::None };
+    Common::millis delay { 4 };
+    std::size_t pageSize { 500 };
+    std::map<Records::topic_part, partition> parts;
+    std::string owner;
+    std::int64_t generation { 1 };
+    int appends { 0 };
+    int reads { 0 };
+    int listings { 0 };
+};
--- /dev/null
+++ b/Source/UnitTests/Core/Records/TopicFollowerTest.cpp
@@ -0,0 +1,138 @@
+#include "FakeStore.h"
+#include "Records/FollowerGroup.h"
+
+#include <catch2/catch.hpp>
+
+namespace {
+
+struct recording_sink : Records::record_sink {
+    void restart() override
+    {
+        ++restarts;
+        values.clear();
+    }
+    void apply(const Records::keyed_record& record) override
+    {
+        ++applied;
+        values[record.key] = record.value;
+    }
+
+    int restarts { 0 };
+    int applied { 0 };
+    std::map<std::string, std::string> values;
+};
+
+struct follower_story {
+    follower_story()
+        : store(timers)
+        , follower(std::make_shared<Records::topic_follower>(
+              store, timers, Records::follower_options { .where = topic }, sink))
+    {
+    }
+
+    const Records::topic_part topic { "t", 0 };
+    manual_timers timers;
+    fake_store store;
+    recording_sink sink;
+    std::shared_ptr<Records::topic_follower> follower;
+};
+
+}
+
+TEST_CASE("A follower begins with the newest records and goes on record by record", "[records]")
+{
+    follower_story s;
+    s.store.pageSize = 2;
+    for (const auto* key : { "a", "b", "c" })
+        s.store.put(s.topic, key, "1");
+    s.follower->start();
+    s.timers.advance(Common::millis(50));
+    CHECK(s.sink.values.size() == 3);
+    CHECK(s.store.listings == 2);
+
+    SECTION("a record that comes later is applied once")
+    {
+        const int before = s.sink.applied;
+        s.store.put(s.topic, "a", "2");
+        s.timers.advance(Common::millis(2500));
+        CHECK(s.sink.values["a"] == "2");
+        CHECK(s.sink.applied == before + 1);
+    }
+    SECTION("when history is gone it begins with the newest again")
+    {
+        s.store.put(s.topic, "d", "1");
+        s.store.forgetHistory(s.topic);
+        s.timers.advance(Common::millis(2500));
+        CHECK(s.sink.restarts == 2);
+        CHECK(s.sink.values.size() == 4);
+    }
+    SECTION("a silent store is asked again")
+    {
+        s.store.state = fake_store::trouble::Silent;
+        s.timers.advance(Common::millis(9000));
+        s.store.put(s.topic, "d", "1");
+        s.store.state = fake_store::trouble::None;
+        s.timers.advance(Common::millis(5000));
+        CHECK(s.sink.values.contains("d"));
+    }
+}
+
+TEST_CASE("A refresh proves the view as of its beginning", "[records]")
+{
+    follower_story s;
+    s.follower->start();
+    s.timers.advance(Common::millis(50));
+    s.store.put(s.topic, "a", "1");
+    std::optional<bool> answer;
+    s.follower->refresh(Common::millis(500), [&answer](bool isRead) { answer = isRead; });
+
+    SECTION("it doesn't wait for the pause or the long read")
+    {
+        s.timers.advance(Common::millis(10));
+        CHECK(answer == true);
+        CHECK(s.sink.values.contains("a"));
+    }
+    SECTION("without the store it says so in time")
+    {
+        s.store.state = fake_store::trouble::Silent;
+        s.follower->refresh(Common::millis(300), [&answer](bool isRead) { answer = isRead; });
+        s.timers.advance(Common::millis(350));
+        CHECK(answer.has_value());
+    }
+}
+
+TEST_CASE("A shorter gap takes effect at once", "[records]")
+{
+    follower_story s;
+    s.follower->start();
+    s.timers.advance(Common::millis(50));
+    s.follower->setGap(Common::millis(900));
+    s.store.put(s.topic, "a", "1");
+    s.timers.advance(Common::millis(1100));
+    CHECK(s.sink.values.contains("a"));
+    s.store.put(s.topic, "b", "1");
+    s.follower->setGap(Common::millis(20));
+    s.timers.advance(Common::millis(30));
+    CHECK(s.sink.values.contains("b"));
+}
+
+TEST_CASE("Followers of several partitions are refreshed together", "[records]")
+{
+    follower_story s;
+    recording_sink other;
+    const Records::topic_part second { "t", 1 };
+    const auto follower = std::make_shared<Records::topic_follower>(
+        s.store, s.timers, Records::follower_options { .where = second }, other);
+    Records::follower_group group({ s.follower, follower });
+    s.follower->start();
+    CHECK_FALSE(group.isFollowing());
+    follower->start();
+    s.timers.advance(Common::millis(50));
+    CHECK(group.isFollowing());
+    s.store.put(second, "x", "1");
+    std::optional<bool> answer;
+    group.refresh(Common::millis(500), [&answer](bool isRead) { answer = isRead; });
+    s.timers.advance(Common::millis(20));
+    CHECK(answer == true);
+    CHECK(other.values.contains("x"));
+}
--- /dev/null
+++ b/Source/UnitTests/Platform/DecodeTest.cpp
@@ -0,0 +1,82 @@
+#include "platform/Decode.h"
+#include "platform/NodeSettings.h"
+
+#include <catch2/catch.hpp>
+#include <rapidcheck.h>
+#include <rapidcheck/catch.h>
+
+TEST_CASE("A job's body is read into the product's terms", "[platform]")
+{
+    const auto spec = Platform::decodeJobSpec(
+        R"({"spec":"x","steps":[{"count":4,"cpu":500,"memMb":256,"estimatedMs":900,"dataRack":"r1-3"},)"
+        R"({"count":20,"cpu":2000,"memMb":1024,"dependsOn":[0],"checkpointing":true,"longRunning":true,"mayMiss":2}]})");
+    REQUIRE(spec);
+    REQUIRE(spec->steps.size() == 2);
+    CHECK(spec->steps[0].request.processor.value == 500);
+    CHECK(spec->steps[0].dataRack.value == "r1-3");
+    CHECK(spec->steps[1].dependsOn == std::vector { 0 });
+    CHECK(spec->steps[1].isLasting);
+    CHECK(spec->steps[1].disruptionBudget == 2);
+    CHECK_FALSE(Platform::decodeJobSpec(R"({"spec":"x","steps":[]})"));
+    CHECK_FALSE(Platform::decodeJobSpec(R"({"spec":"x","steps":[{"count":1,"dependsOn":[0]}]})"));
+    CHECK_FALSE(Platform::decodeJobSpec(R"({"spec":"x","steps":[{"count":"one"}]})"));
+}
+
+TEST_CASE("Entries of other writers name no worker", "[platform]")
+{
+    const auto entry = Platform::decodeWorker("i-1",
+        R"({"service":"s","address":"10.0.0.9:80","zone":"z","state":"ready","labels":["a","r1"],)"
+        R"("capacity":{"cpu":16000,"memMb":32768,"gpu":0},"born":5,"seq":4})");
+    REQUIRE(entry);
+    CHECK(entry->rack.value == "r1");
+    CHECK(entry->bornAt.value == 5);
+    CHECK_FALSE(Platform::decodeWorker("i-1", R"({"service":"s","address":"10.0.0.9:80","state":"odd"})"));
+    CHECK_FALSE(Platform::decodeWorker("i-1", R"({"service":7})"));
+    rc::prop("random bytes never throw", [](const std::string& bytes) {
+        Platform::decodeWorker("i", bytes);
+        Platform::decodeRules(bytes);
+        Platform::decodeWave(bytes);
+        Platform::decodeJobSpec(bytes);
+        Platform::decodeHold(200, bytes);
+    });
+}
+
+TEST_CASE("Names of tasks are written and read", "[platform]")
+{
+    const Jobs::task_name task { { "5c0e7a21d94b36f8" }, 2, 1, 17 };
+    CHECK(Platform::encodeTask(task) == "5c0e7a21d94b36f8.2.1.17");
+    CHECK(Platform::decodeTask("5c0e7a21d94b36f8.2.1.17") == task);
+    CHECK_FALSE(Platform::decodeTask("a.b"));
+    CHECK_FALSE(Platform::decodeTask("a.1.2.x"));
+}
+
+TEST_CASE("A worker's answers are told apart", "[platform]")
+{
+    using Dispatch::order_outcome;
+    CHECK(Platform::decodeReply(200, R"({"clockMs":7,"born":9})").clock->value == 7);
+    CHECK(Platform::decodeReply(409, R"({"clockMs":7,"reason":"fence"})").outcome == order_outcome::Fenced);
+    CHECK(Platform::decodeReply(409, R"({"reason":"room"})").outcome == order_outcome::NoRoom);
+    CHECK(Platform::decodeReply(421, "").outcome == order_outcome::OtherLife);
+    CHECK(Platform::decodeReply(503, "").outcome == order_outcome::Unhealthy);
+    const auto hold = Platform::decodeHold(200,
+        R"({"clockMs":1,"running":[["j.0.1.2",3,"cp",41,200]],"finished":[[58,"j.0.1.9",1,"done",""]]})");
+    REQUIRE(hold.running.size() == 1);
+    CHECK(hold.running[0].load == 200);
+    REQUIRE(hold.ended.size() == 1);
+    CHECK(hold.ended[0].kind == Dispatch::end_kind::Done);
+    CHECK(Platform::decodeHold(200, R"({"clockMs":1})").base.outcome == order_outcome::Invalid);
+}
+
+TEST_CASE("Settings that lack an address are refused with its name", "[platform]")
+{
+    const std::string whole = "node = \"n\"\nzone = \"z\"\n[listen]\nfront = \"10.0.0.1:80\"\nready = \"10.0.0.1:81\"\n"
+                              "[platform]\naddress = \"10.0.0.2:80\"\n[bounds]\ngraceS = 6\nstopMs = 200\n";
+    const auto result = Platform::parseNodeSettings(whole);
+    REQUIRE(result.settings);
+    CHECK(result.settings->stopGrace == std::chrono::seconds(6));
+    CHECK_FALSE(result.settings->instanceManager);
+    const auto lacking = Platform::parseNodeSettings("node = \"n\"\n");
+    CHECK_FALSE(lacking.settings);
+    CHECK(lacking.subject == "listen.front");
+    CHECK(Platform::parseNodeSettings("node = ").error == Platform::settings_error::NotToml);
+}
