Pools keep less room for later steps; counters are shown on a metrics address

Cause: pools held twice the machines that their running work needs, for steps whose room comes free anyway. Starts refused for a lasting reason pause. Counters as text.

--- a/Source/Core/Capacity/PoolSizer.h
+++ b/Source/Core/Capacity/PoolSizer.h
@@ -23,7 +23,7 @@
     /// A pool gives an instance to the spare pool only after it could spare it for so long.
     Common::millis patience { 1000 };
     /// Part of the work of steps that wait for others that counts as asked for.
-    double laterShare { 0.5 };
+    double laterShare { 0.25 };
 };
 
 /// A moment by the clock of leases and by the wall clock.
--- a/Source/Core/Dispatch/Dispatcher.cpp
+++ b/Source/Core/Dispatch/Dispatcher.cpp
@@ -387,9 +387,9 @@
         const bool hasNews = worker.notedEnd > m_toldEnd[id];
         if (worker.isInventoried && worker.runs.empty() && !hasNews)
             continue;
-        const auto hasPhase = [&worker](run_phase phase) {
-            return std::any_of(worker.runs.begin(), worker.runs.end(),
-                [phase](const auto& entry) { return entry.second.phase == phase; });
+        const auto hasPhase = [&runs = worker.runs](run_phase phase) {
+            return std::any_of(
+                runs.begin(), runs.end(), [phase](const auto& entry) { return entry.second.phase == phase; });
         };
         // A start brings its own lease; its answer is worth waiting for.
         if (worker.isInventoried && !hasNews && hasPhase(run_phase::Starting) && !hasPhase(run_phase::Running)
--- a/Source/Core/Dispatch/DispatcherEvents.cpp
+++ b/Source/Core/Dispatch/DispatcherEvents.cpp
@@ -12,6 +12,8 @@
     constexpr Common::millis silentDistrust { 700 };
     /// A worker that says it isn't healthy, or has no room where we see some, gets no work for this time.
     constexpr Common::millis refusalDistrust { 300 };
+    /// A start that was refused for a reason that lasts is tried again after this time.
+    constexpr Common::millis refusedStartPause { 700 };
     /// Failures in a row after which a worker is suspected rather than its tasks.
     constexpr int suspectFailures = 2;
     constexpr Common::millis failureDistrust { 2500 };
@@ -152,7 +154,8 @@
         distrust(worker, now, refusalDistrust);
     if (reply.outcome == order_outcome::NotSent)
         distrust(worker, now, silentDistrust);
-    releaseRun(worker, order.task, now + (reply.outcome == order_outcome::Invalid ? silentDistrust : Common::millis(0)));
+    const bool isLasting = reply.outcome == order_outcome::Invalid || reply.outcome == order_outcome::NoTicket;
+    releaseRun(worker, order.task, now + (isLasting ? refusedStartPause : Common::millis(0)));
 }
 
 void dispatcher::onStop(const stop_order& order, const order_reply& reply, Common::instant now)
--- a/Source/Core/Station/EntryStation.cpp
+++ b/Source/Core/Station/EntryStation.cpp
@@ -104,12 +104,27 @@
         EventLoop::listener_limits {}, [this](const EventLoop::http_request& request, const EventLoop::responder& respond) {
             answerReadiness(request, respond);
         });
-    if (!m_callers->start() || !m_readiness->start())
+    if (!m_callers->start() || !m_readiness->start() || !startMetrics())
         return false;
     m_seat->start([this](const won_seat& won) { beginTenure(won); }, [this] { endTenure(); });
     return true;
 }
 
+bool entry_station::startMetrics()
+{
+    if (!m_settings.metrics)
+        return true;
+    m_metrics = std::make_unique<EventLoop::http_listener>(m_parts.loop, *m_settings.metrics,
+        EventLoop::listener_limits {}, [this](const EventLoop::http_request&, const EventLoop::responder& respond) {
+            EventLoop::http_response response { .status = 200, .contentType = "text/plain" };
+            for (const auto& [name, count] : m_figures.all())
+                response.body += "loft_" + name + ' ' + std::to_string(count) + '\n';
+            response.body += "loft_jobs " + std::to_string(m_book.size()) + '\n';
+            respond(std::move(response));
+        });
+    return m_metrics->start();
+}
+
 bool entry_station::isReady() const
 {
     const auto confirmed = m_operators->confirmedAt();
--- a/Source/Core/Station/EntryStation.h
+++ b/Source/Core/Station/EntryStation.h
@@ -62,6 +62,7 @@
 
     bool isReady() const;
     void answerReadiness(const EventLoop::http_request&, const EventLoop::responder&) const;
+    bool startMetrics();
     void beginTenure(const won_seat&);
     void readJobsForTenure(const won_seat&);
     void fillTenure(const std::shared_ptr<holder_run>&);
@@ -88,6 +89,7 @@
     std::unique_ptr<caller_desk> m_desk;
     std::unique_ptr<EventLoop::http_listener> m_callers;
     std::unique_ptr<EventLoop::http_listener> m_readiness;
+    std::unique_ptr<EventLoop::http_listener> m_metrics;
     std::optional<Rules::fleet_rules> m_rules;
     std::set<Common::data_centre_id> m_evacuated;
     std::map<std::int64_t, Rules::upkeep_wave> m_waves;
--- a/Source/Core/Station/StationSettings.h
+++ b/Source/Core/Station/StationSettings.h
@@ -18,6 +18,8 @@
     Common::data_centre_id dataCentre;
     Common::endpoint callers;
     Common::endpoint readiness;
+    /// Where counters are shown; empty for nowhere.
+    std::optional<Common::endpoint> metrics;
     Common::endpoint store;
     /// Service that says which workers may run a step; empty when there is none.
     std::optional<Common::endpoint> advice;
--- a/Source/UnitTests/Platform/DecodeTest.cpp
+++ b/Source/UnitTests/Platform/DecodeTest.cpp
@@ -69,12 +69,13 @@
 
 TEST_CASE("Settings that lack an address are refused with its name", "[platform]")
 {
-    const std::string whole = "node = \"n\"\nzone = \"z\"\n[listen]\nfront = \"10.0.0.1:80\"\nready = \"10.0.0.1:81\"\n"
+    const std::string whole = "node = \"n\"\nzone = \"z\"\nip = \"10.0.0.1\"\ninternalPortRange = [7000, 7015]\n[listen]\nfront = \"10.0.0.1:80\"\nready = \"10.0.0.1:81\"\n"
                               "[platform]\naddress = \"10.0.0.2:80\"\n[bounds]\ngraceS = 6\nstopMs = 200\n";
     const auto result = Platform::parseNodeSettings(whole);
     REQUIRE(result.settings);
     CHECK(result.settings->stopGrace == std::chrono::seconds(6));
     CHECK_FALSE(result.settings->instanceManager);
+    CHECK(result.settings->metrics->port == 7000);
     const auto lacking = Platform::parseNodeSettings("node = \"n\"\n");
     CHECK_FALSE(lacking.settings);
     CHECK(lacking.subject == "listen.front");
