--- a/Source/Core/Dispatch/Dispatcher.h
+++ b/Source/Core/Dispatch/Dispatcher.h
@@ -165,6 +165,8 @@
     void releaseRun(worker_state&, Jobs::task_name, Common::instant notBefore);
     void orderStop(worker_state&, const Jobs::task_name&);
     void loseAllRuns(worker_state&, Common::instant now);
+    /// Takes an answer's clock, fence and life. Null when the worker is gone or another life answered.
+    worker_state* answering(const Common::worker_id&, const order_reply&, Common::instant now);
     void learn(worker_state&, const order_reply&, Common::instant now);
     bool checkLife(worker_state&, const order_reply&, Common::instant now);
     static bool isTooLate(const open_job&, Common::wall_millis wall);
--- a/Source/Core/Dispatch/DispatcherEvents.cpp
+++ b/Source/Core/Dispatch/DispatcherEvents.cpp
@@ -107,15 +107,21 @@
     observe({ .kind = dispatch_event_kind::Fenced, .worker = worker.entry.id });
 }
 
+worker_state* dispatcher::answering(const Common::worker_id& id, const order_reply& reply, Common::instant now)
+{
+    const auto found = m_workers.find(id);
+    if (found == m_workers.end() || !checkLife(found->second, reply, now))
+        return nullptr;
+    learn(found->second, reply, now);
+    return &found->second;
+}
+
 void dispatcher::onStart(const start_order& order, const order_reply& reply, Common::instant now)
 {
-    const auto found = m_workers.find(order.worker.id);
-    if (found == m_workers.end())
+    auto* answerer = answering(order.worker.id, reply, now);
+    if (!answerer)
         return;
-    auto& worker = found->second;
-    if (!checkLife(worker, reply, now))
-        return;
-    learn(worker, reply, now);
+    auto& worker = *answerer;
     const auto entry = worker.runs.find(order.task);
     if (entry == worker.runs.end() || entry->second.run != order.run)
         return;
@@ -160,13 +166,10 @@
 
 void dispatcher::onStop(const stop_order& order, const order_reply& reply, Common::instant now)
 {
-    const auto found = m_workers.find(order.worker.id);
-    if (found == m_workers.end())
-        return;
-    auto& worker = found->second;
-    if (!checkLife(worker, reply, now))
+    auto* answerer = answering(order.worker.id, reply, now);
+    if (!answerer)
         return;
-    learn(worker, reply, now);
+    auto& worker = *answerer;
     const auto entry = worker.runs.find(order.task);
     if (entry == worker.runs.end() || entry->second.run != order.run)
         return;
--- a/Source/Core/Station/HolderRun.cpp
+++ b/Source/Core/Station/HolderRun.cpp
@@ -11,6 +11,7 @@
     constexpr Common::millis turnDelay { 4 };
     /// Longest time between two turns.
     constexpr Common::millis beatInterval { 100 };
+    constexpr Common::millis forgetInterval { 5000 };
     constexpr Common::millis orderTimeout { 700 };
     /// A look may take this long beyond its wait.
     constexpr Common::millis holdPatience { 700 };
@@ -238,9 +239,22 @@
     if (m_isOver)
         return;
     wake();
+    forgetWorkers();
     m_parts.timers.after(beatInterval, [self = shared_from_this()] { self->beat(); });
 }
 
+void holder_run::forgetWorkers()
+{
+    const auto now = m_parts.timers.now();
+    if (now - m_forgotAt < forgetInterval)
+        return;
+    m_forgotAt = now;
+    std::vector<Common::worker_id> known;
+    for (const auto& [id, worker] : m_dispatcher.workers())
+        known.push_back(id);
+    m_parts.workers.keepOnly(known);
+}
+
 void holder_run::wake()
 {
     if (m_isTurnDue || m_isOver)
--- a/Source/Core/Station/HolderRun.h
+++ b/Source/Core/Station/HolderRun.h
@@ -44,8 +44,6 @@
     /// Gives no more orders. What runs goes on under its leases.
     void stop();
     bool isOver() const { return m_isOver; }
-    /// Everything decided so far stands in the log.
-    bool isSettled() const { return m_commitsOpen == 0; }
 
     void setRules(const Rules::fleet_rules&);
     void setEvacuated(const std::set<Common::data_centre_id>&);
@@ -59,6 +57,8 @@
 
 private:
     void beat();
+    /// Drops connections to workers that are gone.
+    void forgetWorkers();
     void wake();
     void turn();
     void carryOut(const Dispatch::dispatch_orders&);
@@ -79,6 +79,7 @@
     std::function<Dispatch::seat_standing()> m_standing;
     std::function<void()> m_onLost;
     int m_commitsOpen { 0 };
+    Common::instant m_forgotAt;
     bool m_isTurnDue { false };
     bool m_isOver { false };
 };
