An unsure holder takes no lapse for an end; a listener frees its sessions

Change: leases end nothing while the seat isn't confirmed; a seat that may have been dealt away and back in that time is claimed anew; a listener parts from its sessions. Ruled out: clocks, and leases granted in doubt, which the bound of a lapse covers.

--- a/Source/Core/Dispatch/Dispatcher.cpp
+++ b/Source/Core/Dispatch/Dispatcher.cpp
@@ -187,7 +187,7 @@
     if (m_isFenced)
         return orders;
     setGrant(now, standing);
-    expire(now);
+    expire(now, standing);
     for (const auto& [id, job] : m_jobs)
         job->openDue(wall);
     planStops(now, orders);
--- a/Source/Core/Dispatch/Dispatcher.h
+++ b/Source/Core/Dispatch/Dispatcher.h
@@ -146,7 +146,7 @@
     std::vector<worker_state*> openWorkers(const Common::pool_id&, Common::instant now);
     std::vector<open_job*> jobsInOrder(const Common::pool_id&, Common::instant now, Common::wall_millis wall);
 
-    void expire(Common::instant now);
+    void expire(Common::instant now, const seat_standing&);
     void planStarts(const Common::pool_id&, Common::instant now, Common::wall_millis wall, dispatch_orders&);
     void planStep(open_job&, int occurrence, int step, const std::vector<worker_state*>&, Common::instant now,
         dispatch_orders&);
--- a/Source/Core/Dispatch/DispatcherLeases.cpp
+++ b/Source/Core/Dispatch/DispatcherLeases.cpp
@@ -32,8 +32,11 @@
     m_grant = std::min(lease.longestLease, Common::elapsed(now, standing.confirmedUntil + lease.longestLease));
 }
 
-void dispatcher::expire(Common::instant now)
+void dispatcher::expire(Common::instant now, const seat_standing& standing)
 {
+    // Another holder may be extending what we can't see any more.
+    if (!standing.isConfirmed(now))
+        return;
     for (auto entry = m_workers.begin(); entry != m_workers.end();) {
         auto& worker = entry->second;
         const bool hasLapsed = now >= worker.lapseBound && !worker.isHoldOpen;
--- a/Source/Core/EventLoop/HttpListener.cpp
+++ b/Source/Core/EventLoop/HttpListener.cpp
@@ -222,6 +222,16 @@
         }
     }
 
+    /// Sessions and this state hold each other, so they are parted before the end.
+    void closeAll()
+    {
+        drain();
+        const auto current = std::move(sessions);
+        sessions.clear();
+        for (const auto& open : current)
+            open->close();
+    }
+
     event_loop& loop;
     Common::endpoint address;
     listener_limits limits;
@@ -238,7 +248,7 @@
 {
 }
 
-http_listener::~http_listener() = default;
+http_listener::~http_listener() { m_state->closeAll(); }
 
 bool http_listener::start()
 {
--- a/Source/Core/Station/HolderSeat.cpp
+++ b/Source/Core/Station/HolderSeat.cpp
@@ -76,7 +76,14 @@
 {
     if (!share || m_hasLeft)
         return;
+    // While the seat wasn't confirmed it may have been dealt to another and back.
+    const bool wasElsewhere = m_state == seat_state::Holding && share->generation != m_generation
+        && began >= m_confirmedUntil;
     m_generation = share->generation;
+    if (wasElsewhere) {
+        m_state = seat_state::Idle;
+        m_onDealtAway();
+    }
     const bool wasDealtHere = m_isDealtHere;
     m_isDealtHere = std::find(share->parts.begin(), share->parts.end(), seatPart) != share->parts.end();
     if (m_isDealtHere) {
--- a/Source/UnitTests/Core/Dispatch/DispatcherTest.cpp
+++ b/Source/UnitTests/Core/Dispatch/DispatcherTest.cpp
@@ -265,6 +265,17 @@
         REQUIRE(look);
         CHECK_FALSE(look->deadline);
     }
+    SECTION("a lease that it can't extend proves nothing, since another holder may extend it")
+    {
+        f.isConfirmed = true;
+        f.join(f.worker("w2"));
+        f.isConfirmed = false;
+        f.now = f.standing.confirmedUntil + std::chrono::seconds(5);
+        f.dispatcher.onHold(*f.nextLook(start.worker.id.value), { .base = f.reply(order_outcome::NoAnswer) }, f.now, f.now);
+        f.now += std::chrono::seconds(4);
+        CHECK(f.plan().starts.empty());
+        CHECK(f.dispatcher.workers().at(start.worker.id).runs.size() == 1);
+    }
     SECTION("jobs that came later are left to the next holder")
     {
         f.now = f.standing.confirmedUntil + std::chrono::seconds(1);
