--- a/Source/Core/Capacity/PoolSizer.cpp
+++ b/Source/Core/Capacity/PoolSizer.cpp
@@ -16,12 +16,6 @@
         return found == dispatcher.workers().end() ? nullptr : &found->second;
     }
 
-    bool hasLastingWork(const Dispatch::worker_state& worker)
-    {
-        return std::any_of(worker.runs.begin(), worker.runs.end(),
-            [](const auto& entry) { return entry.second.isLasting || entry.second.isFiller; });
-    }
-
     std::int64_t usedOn(const instance_record& record, const Dispatch::dispatcher& dispatcher)
     {
         const auto* worker = workerOn(record, dispatcher);
@@ -61,7 +55,7 @@
     const auto* worker = workerOn(record, dispatcher);
     if (isIdle(record, dispatcher))
         pool.idle.push_back(&record);
-    else if (worker && !isEmptying && !worker->isCordoned && isUsable && !hasLastingWork(*worker))
+    else if (worker && !isEmptying && !worker->isCordoned && isUsable && !worker->hasLastingRuns())
         pool.busy.push_back(&record);
 }
 
--- a/Source/Core/Dispatch/Placement.cpp
+++ b/Source/Core/Dispatch/Placement.cpp
@@ -34,8 +34,9 @@
         const bool isAvoided = worker.entry.id == request.avoided;
         const bool isFarFromData = !step.dataRack.empty() && worker.entry.rack != step.dataRack;
         const bool isOtherRack = !request.rack.empty() && worker.entry.rack != request.rack;
+        const bool opensWorker = step.isLasting && !step.isFiller && !worker.hasLastingRuns();
         const auto left = step.isFiller ? -worker.leftOver().value : worker.free().processor.value;
-        return std::make_tuple(isAvoided, isFarFromData || isOtherRack, left, worker.entry.id);
+        return std::make_tuple(isAvoided, isFarFromData || isOtherRack, opensWorker, left, worker.entry.id);
     }
 
 }
--- a/Source/Core/Dispatch/WorkerState.cpp
+++ b/Source/Core/Dispatch/WorkerState.cpp
@@ -87,9 +87,9 @@
     runs.erase(found);
 }
 
-bool worker_state::runsOnlyFillersOrLasting() const
+bool worker_state::hasLastingRuns() const
 {
-    return std::all_of(runs.begin(), runs.end(),
+    return std::any_of(runs.begin(), runs.end(),
         [](const auto& entry) { return entry.second.isLasting || entry.second.isFiller; });
 }
 
--- a/Source/Core/Dispatch/WorkerState.h
+++ b/Source/Core/Dispatch/WorkerState.h
@@ -74,7 +74,8 @@
     Common::millicores leftOver() const;
     task_run& addRun(const Jobs::task_name&, const task_run&);
     void removeRun(const Jobs::task_name&);
-    bool runsOnlyFillersOrLasting() const;
+    /// Whether a task that lasts, or one that fills beside such tasks, runs here.
+    bool hasLastingRuns() const;
 
 private:
     struct clock_reading {
--- /dev/null
+++ b/Source/UnitTests/Core/Dispatch/PlacementTest.cpp
@@ -0,0 +1,20 @@
+#include "Dispatch/Placement.h"
+#include "DispatcherFixture.h"
+
+#include <catch2/catch.hpp>
+
+TEST_CASE("Lasting tasks gather on workers that hold some already, so that the others can leave the pool")
+{
+    Dispatch::worker_state serving(dispatcher_fixture::worker("w2", 16));
+    Dispatch::worker_state busy(dispatcher_fixture::worker("w1", 8));
+    const Dispatch::task_run lasting { .request = { .processor = { 1000 } }, .isLasting = true };
+    serving.addRun({ .job = { "a" } }, lasting);
+    busy.addRun({ .job = { "b" } }, { .request = { .processor = { 4000 } } });
+    const std::vector<Dispatch::worker_state*> workers { &busy, &serving };
+
+    auto step = dispatcher_fixture::step(1);
+    const Dispatch::placement_request request { .step = &step };
+    CHECK(Dispatch::chooseWorker(workers, request) == &busy);
+    step.isLasting = true;
+    CHECK(Dispatch::chooseWorker(workers, request) == &serving);
+}
