--- a/Source/Core/Dispatch/Dispatcher.cpp
+++ b/Source/Core/Dispatch/Dispatcher.cpp
@@ -40,12 +40,13 @@
     }
     auto& worker = found->second;
     worker.isListed = true;
-    if (worker.entry.bornAt < entry.bornAt) {
+    const bool isUnregistered = worker.entry.bornAt == Common::wall_millis();
+    if (!isUnregistered && worker.entry.bornAt < entry.bornAt) {
         loseAllRuns(worker, now);
         worker.beginLife(entry);
         return;
     }
-    if (worker.entry.bornAt == entry.bornAt)
+    if (isUnregistered || worker.entry.bornAt == entry.bornAt)
         worker.entry = entry;
 }
 
@@ -60,13 +61,8 @@
     Common::instant now, Common::wall_millis wall)
 {
     for (const auto& [id, pool] : roster) {
-        if (m_isRosterKnown || m_workers.contains(id))
-            continue;
-        worker_entry unregistered { .id = id, .pool = pool };
-        auto& worker = m_workers.emplace(id, worker_state(unregistered)).first->second;
-        worker.isListed = false;
-        worker.firstSeenAt = now;
-        worker.grant(now, m_options.lease.longestLease);
+        if (!m_isRosterKnown)
+            expectWorker(id, pool, now);
     }
     m_isRosterKnown = true;
     for (auto& [id, worker] : m_workers) {
@@ -78,6 +74,19 @@
     }
 }
 
+worker_state& dispatcher::expectWorker(
+    const Common::worker_id& id, const Common::pool_id& pool, Common::instant now)
+{
+    const auto found = m_workers.find(id);
+    if (found != m_workers.end())
+        return found->second;
+    auto& worker = m_workers.emplace(id, worker_state({ .id = id, .pool = pool })).first->second;
+    worker.isListed = false;
+    worker.firstSeenAt = now;
+    worker.grant(now, m_options.lease.longestLease);
+    return worker;
+}
+
 bool dispatcher::isCordoned(const Common::worker_id& id) const
 {
     const auto found = m_workers.find(id);
@@ -102,8 +111,12 @@
     const auto chain = static_cast<double>(longestChain(record.spec).count());
     job->dueAt.value = record.acceptedAt.value + static_cast<std::int64_t>(stretch * chain) + latency.count();
     job->addedAt = now;
-    if (now > m_takenOverAt + m_options.overlap)
-        m_freshJobs.insert(record.id.value);
+    if (!job->isNoted)
+        m_untouched.insert(record.id.value);
+    for (const auto& known : progress.tasks) {
+        if (!known.isDone && !known.worker.empty())
+            inherit(*job, known, now);
+    }
     m_jobs.emplace(record.id.value, std::move(job));
 }
 
@@ -126,6 +139,8 @@
 
 bool dispatcher::isPoolOpen(const Common::pool_id& pool, Common::instant now) const
 {
+    if (m_isTrusted)
+        return true;
     if (!m_isRosterKnown && now < m_takenOverAt + m_options.rosterPatience)
         return false;
     return std::all_of(m_workers.begin(), m_workers.end(), [&pool, now](const auto& entry) {
@@ -134,14 +149,17 @@
     });
 }
 
+bool dispatcher::isOpen(const worker_state& worker, Common::instant now) const
+{
+    return worker.isListed && !worker.entry.isDraining && worker.isInventoried && worker.knowsClock()
+        && !worker.isCordoned && now >= worker.distrustedUntil && !m_evacuated.contains(worker.entry.dataCentre);
+}
+
 std::vector<worker_state*> dispatcher::openWorkers(const Common::pool_id& pool, Common::instant now)
 {
     std::vector<worker_state*> open;
     for (auto& [id, worker] : m_workers) {
-        const bool isOpen = worker.entry.pool == pool && worker.isListed && !worker.entry.isDraining
-            && worker.isInventoried && worker.knowsClock() && !worker.isCordoned && now >= worker.distrustedUntil
-            && !m_evacuated.contains(worker.entry.dataCentre);
-        if (isOpen)
+        if (worker.entry.pool == pool && isOpen(worker, now))
             open.push_back(&worker);
     }
     return open;
@@ -164,7 +182,9 @@
         const auto* queue = queueOf(*job);
         if (!queue || queue->pool != pool || Jobs::isFinal(job->state))
             continue;
-        if (job->addedAt <= m_knownUntil && (isOpen || m_freshJobs.contains(id)))
+        // Without the store only jobs that the next holder takes for begun go on.
+        const bool isKnown = m_isConfirmed || (job->isNoted && job->addedAt <= m_knownUntil);
+        if (isKnown && (isOpen || m_untouched.contains(id)))
             jobs.push_back(job.get());
     }
     // A job that can't end on time any more is worth little: it runs in what the others leave.
@@ -188,20 +208,21 @@
         return orders;
     setGrant(now, standing);
     expire(now, standing);
+    dropUnsent(now);
     for (const auto& [id, job] : m_jobs)
         job->openDue(wall);
     planStops(now, orders);
     for (const auto& pool : m_rules.pools) {
         if (m_grant >= m_options.lease.leastGrant)
-            planStarts(pool.id, now, wall, orders);
+            planStarts(pool.id, now, wall);
     }
+    sendStarts(now, orders);
     planHolds(now, orders);
     planPaces(orders);
     return orders;
 }
 
-void dispatcher::planStarts(
-    const Common::pool_id& pool, Common::instant now, Common::wall_millis wall, dispatch_orders& orders)
+void dispatcher::planStarts(const Common::pool_id& pool, Common::instant now, Common::wall_millis wall)
 {
     const auto workers = openWorkers(pool, now);
     if (workers.empty())
@@ -214,9 +235,9 @@
                 if (open <= 0 || !job->isReady(occurrence, step))
                     continue;
                 if (job->record().spec.steps[static_cast<std::size_t>(step)].isGang)
-                    planGang(*job, number, step, workers, now, orders);
+                    planGang(*job, number, step, workers, now);
                 else
-                    planStep(*job, number, step, workers, now, orders);
+                    planStep(*job, number, step, workers, now);
             }
         }
     }
@@ -238,8 +259,8 @@
     return request;
 }
 
-void dispatcher::planStep(open_job& job, int occurrence, int step, const std::vector<worker_state*>& workers,
-    Common::instant now, dispatch_orders& orders)
+void dispatcher::planStep(
+    open_job& job, int occurrence, int step, const std::vector<worker_state*>& workers, Common::instant now)
 {
     std::map<Common::worker_id, int> counts;
     auto request = requestFor(job, occurrence, step, counts);
@@ -258,12 +279,12 @@
         if (request.step->isRackSensitive && request.rack.empty())
             request.rack = worker->entry.rack;
         const run_number run { task.lastRun.value + 1 };
-        start(job, taskAt(job.record(), occurrence, step, index), *worker, run, now, orders);
+        planStart(job, taskAt(job.record(), occurrence, step, index), *worker, run, now);
     }
 }
 
-void dispatcher::planGang(open_job& job, int occurrence, int step, const std::vector<worker_state*>& workers,
-    Common::instant now, dispatch_orders& orders)
+void dispatcher::planGang(
+    open_job& job, int occurrence, int step, const std::vector<worker_state*>& workers, Common::instant now)
 {
     auto& tasks = job.occurrences()[occurrence].steps[static_cast<std::size_t>(step)].tasks;
     run_number run;
@@ -296,29 +317,7 @@
         chosen.push_back(worker->entry.id);
     }
     for (std::size_t index = 0; index < tasks.size(); ++index)
-        start(job, taskAt(job.record(), occurrence, step, index), m_workers.at(chosen[index]), run, now, orders);
-}
-
-void dispatcher::start(open_job& job, const Jobs::task_name& name, worker_state& worker, run_number run,
-    Common::instant now, dispatch_orders& orders)
-{
-    const auto& spec = job.spec(name);
-    addRun(worker, name,
-        { .run = run,
-            .phase = run_phase::Starting,
-            .request = spec.request,
-            .team = job.record().team,
-            .isLasting = spec.isLasting,
-            .isFiller = spec.isFiller,
-            .startedAt = now,
-            .progressedAt = now });
-    job.place(name, worker.entry.id, run);
-    orders.starts.push_back({ .worker = { worker.entry.id, worker.entry.address },
-        .task = name,
-        .run = run,
-        .payload = job.record().spec.payload,
-        .checkpoint = job.find(name)->checkpoint,
-        .deadline = worker.grant(now, m_grant) });
+        planStart(job, taskAt(job.record(), occurrence, step, index), m_workers.at(chosen[index]), run, now);
 }
 
 pool_demand dispatcher::demandOf(const Common::pool_id& pool, Common::wall_millis wall) const
@@ -360,12 +359,8 @@
 
 void dispatcher::onCommitted(const commit_batch& batch, Common::instant now)
 {
-    for (const auto& progress : batch.progress) {
-        if (Jobs::isFinal(progress.state)) {
-            m_jobs.erase(progress.job.value);
-            m_freshJobs.erase(progress.job.value);
-        }
-    }
+    for (const auto& progress : batch.progress)
+        noteStored(progress);
     for (const auto& [id, end] : batch.covered) {
         const auto found = m_workers.find(id);
         if (found == m_workers.end())
--- a/Source/Core/Dispatch/Dispatcher.h
+++ b/Source/Core/Dispatch/Dispatcher.h
@@ -16,8 +16,6 @@
     lease_options lease;
     /// Longest time in which a worker carries out a stop.
     Common::millis stopTime { 200 };
-    /// A holder before us may have started tasks for so long after our claim.
-    Common::millis overlap { 1500 };
     /// Without a list of instances, the registered workers are taken for all after this time.
     Common::millis rosterPatience { 3000 };
 };
@@ -122,6 +120,12 @@
     void onHold(const hold_order&, const hold_reply&, Common::instant sentAt, Common::instant now);
     void onPace(const pace_order&, const order_reply&);
 
+    /// The holder before us gives no more orders, and the log has all its placements.
+    void trustNotes() { m_isTrusted = true; }
+    /// Whether the log has all placements, ours and those of earlier holders.
+    bool isFullyNoted(Common::instant now) const;
+    /// Whether starts wait for their placements to be stored.
+    bool awaitsNotes() const { return !m_planned.empty(); }
     /// Progress that isn't stored yet. Each is handed out once.
     commit_batch takeCommit();
     void onCommitted(const commit_batch&, Common::instant now);
@@ -135,25 +139,39 @@
     void vacate(const Common::worker_id&);
 
 private:
-    struct located_run {
-        worker_state* worker { nullptr };
-        task_run* run { nullptr };
+    struct planned_start {
+        Jobs::task_name task;
+        Common::worker_id worker;
+        run_number run;
     };
 
     open_job* findJob(const Common::job_id&);
     const Rules::queue_rule* queueOf(const open_job&) const;
     bool isPoolOpen(const Common::pool_id&, Common::instant now) const;
+    /// Whether the worker may get new work.
+    bool isOpen(const worker_state&, Common::instant now) const;
     std::vector<worker_state*> openWorkers(const Common::pool_id&, Common::instant now);
+    /// Registered or not, the worker may run what an earlier holder started.
+    worker_state& expectWorker(const Common::worker_id&, const Common::pool_id&, Common::instant now);
     std::vector<open_job*> jobsInOrder(const Common::pool_id&, Common::instant now, Common::wall_millis wall);
 
     void expire(Common::instant now, const seat_standing&);
-    void planStarts(const Common::pool_id&, Common::instant now, Common::wall_millis wall, dispatch_orders&);
-    void planStep(open_job&, int occurrence, int step, const std::vector<worker_state*>&, Common::instant now,
-        dispatch_orders&);
-    void planGang(open_job&, int occurrence, int step, const std::vector<worker_state*>&, Common::instant now,
-        dispatch_orders&);
+    void planStarts(const Common::pool_id&, Common::instant now, Common::wall_millis wall);
+    void planStep(open_job&, int occurrence, int step, const std::vector<worker_state*>&, Common::instant now);
+    void planGang(open_job&, int occurrence, int step, const std::vector<worker_state*>&, Common::instant now);
     placement_request requestFor(open_job&, int occurrence, int step, std::map<Common::worker_id, int>& counts);
-    void start(open_job&, const Jobs::task_name&, worker_state&, run_number, Common::instant now, dispatch_orders&);
+    static task_run runOf(
+        const open_job&, const Jobs::task_name&, run_number, run_phase, Common::instant now);
+    /// Takes the room; the start is sent once the log has the placement.
+    void planStart(open_job&, const Jobs::task_name&, worker_state&, run_number, Common::instant now);
+    void sendStarts(Common::instant now, dispatch_orders&);
+    bool maySend(const planned_start&, Common::instant now);
+    task_run* findRun(const planned_start&);
+    task_run* findPlanned(const planned_start&);
+    void dropUnsent(Common::instant now);
+    void noteStored(const Jobs::job_progress&);
+    /// Takes over a placement by an earlier holder, until its worker tells.
+    void inherit(open_job&, const Jobs::task_progress&, Common::instant now);
     void planStops(Common::instant now, dispatch_orders&);
     void setGrant(Common::instant now, const seat_standing&);
     void planHolds(Common::instant now, dispatch_orders&);
@@ -176,6 +194,10 @@
     void handleFailure(open_job&, worker_state&, const listed_end&, Common::instant now);
     void reconcile(worker_state&, const hold_reply&, Common::instant sentAt, Common::instant now);
     void meetListedRun(worker_state&, const listed_run&, Common::instant now);
+    void adopt(worker_state&, open_job&, const listed_run&);
+    /// Whether the listed run is newer than a placement that an earlier holder noted on another worker.
+    bool hasOvertaken(const Jobs::task_name&, const task_state&, const listed_run&) const;
+    void markRunning(open_job&);
     void updateRun(worker_state&, const Jobs::task_name&, task_run&, const listed_run&, Common::instant now);
     void conclude(open_job&, Jobs::job_state);
     void stopRunsOf(const Common::job_id&);
@@ -189,18 +211,24 @@
     std::set<Common::data_centre_id> m_evacuated;
     std::map<Common::worker_id, worker_state> m_workers;
     std::unordered_map<std::string, std::unique_ptr<open_job>> m_jobs;
-    /// Jobs that came so long after our claim that no earlier holder can have started them.
-    std::set<std::string> m_freshJobs;
+    /// Jobs of which the log said nothing when they came here, so that no earlier holder can have begun them.
+    std::set<std::string> m_untouched;
+    /// Starts whose placements the log doesn't have yet.
+    std::vector<planned_start> m_planned;
     team_usage m_usage;
     std::set<std::string> m_dirty;
     std::map<Common::worker_id, end_number> m_uncovered;
     std::map<Common::worker_id, end_number> m_toldEnd;
     /// The workers that an earlier holder may have given orders are known.
     bool m_isRosterKnown { false };
+    bool m_isTrusted { false };
     /// What an order grants now; below `leastGrant` nothing is started and no lease extended.
     Common::millis m_grant;
     /// Jobs that came later aren't started now.
     Common::instant m_knownUntil;
+    bool m_isConfirmed { false };
+    /// The store may not answer, so begun jobs go on without notes.
+    bool m_isUnsure { true };
     bool m_isFenced { false };
 };
 
--- a/Source/Core/Dispatch/DispatcherEvents.cpp
+++ b/Source/Core/Dispatch/DispatcherEvents.cpp
@@ -136,11 +136,8 @@
             run.phase = run_phase::Running;
         run.startedAt = now;
         run.progressedAt = now;
-        auto* job = findJob(order.task.job);
-        if (job && job->state == Jobs::job_state::Pending) {
-            job->state = Jobs::job_state::Running;
-            m_dirty.insert(order.task.job.value);
-        }
+        if (auto* job = findJob(order.task.job))
+            markRunning(*job);
         auto started = event;
         started.kind = dispatch_event_kind::Started;
         observe(started);
@@ -276,8 +273,7 @@
         job.finish(name);
     }
     m_dirty.insert(job.record().id.value);
-    if (job.state == Jobs::job_state::Pending)
-        job.state = Jobs::job_state::Running;
+    markRunning(job);
     if (job.isComplete())
         conclude(job, Jobs::job_state::Completed);
 }
@@ -309,7 +305,8 @@
     for (const auto& [name, run] : worker.runs) {
         if (listed.contains({ name, run.run }))
             continue;
-        const bool wasThere = run.phase == run_phase::Running && run.startedAt < sentAt;
+        const bool wasThere
+            = run.phase == run_phase::Inherited || (run.phase == run_phase::Running && run.startedAt < sentAt);
         const bool isStopped
             = run.phase == run_phase::Stopping && run.stopTakenAt && *run.stopTakenAt + m_options.stopTime <= sentAt;
         if (wasThere || isStopped)
@@ -324,36 +321,53 @@
 void dispatcher::meetListedRun(worker_state& worker, const listed_run& listed, Common::instant now)
 {
     const auto entry = worker.runs.find(listed.task);
-    if (entry != worker.runs.end()) {
+    if (entry != worker.runs.end() && entry->second.phase == run_phase::Inherited) {
+        releaseRun(worker, listed.task, now);
+    } else if (entry != worker.runs.end()) {
         if (entry->second.run == listed.run)
             updateRun(worker, listed.task, entry->second, listed, now);
         return;
     }
     auto* job = findJob(listed.task.job);
-    auto* task = job ? job->find(listed.task) : nullptr;
-    task_run run { .run = listed.run, .phase = run_phase::Running, .startedAt = now, .progressedAt = now };
-    if (task) {
-        const auto& spec = job->spec(listed.task);
-        run.request = spec.request;
-        run.team = job->record().team;
-        run.isLasting = spec.isLasting;
-        run.isFiller = spec.isFiller;
-    }
+    const auto* task = job ? job->find(listed.task) : nullptr;
+    if (task && hasOvertaken(listed.task, *task, listed))
+        releaseRun(m_workers.at(task->worker), listed.task, now);
     const bool isWanted = task && task->phase == task_phase::Waiting && !Jobs::isFinal(job->state);
-    addRun(worker, listed.task, run);
-    if (!isWanted) {
+    const task_run unknown { .run = listed.run, .phase = run_phase::Running, .startedAt = now, .progressedAt = now };
+    addRun(worker, listed.task, task ? runOf(*job, listed.task, listed.run, run_phase::Running, now) : unknown);
+    if (isWanted)
+        adopt(worker, *job, listed);
+    else
         orderStop(worker, listed.task);
-        return;
-    }
+}
+
+bool dispatcher::hasOvertaken(const Jobs::task_name& name, const task_state& task, const listed_run& listed) const
+{
+    const auto worker = task.phase == task_phase::Placed ? m_workers.find(task.worker) : m_workers.end();
+    if (worker == m_workers.end())
+        return false;
+    const auto run = worker->second.runs.find(name);
+    return run != worker->second.runs.end() && run->second.phase == run_phase::Inherited
+        && run->second.run < listed.run;
+}
+
+void dispatcher::adopt(worker_state& worker, open_job& job, const listed_run& listed)
+{
     observe({ .kind = dispatch_event_kind::Adopted,
         .task = listed.task,
         .worker = worker.entry.id,
         .run = listed.run });
-    job->place(listed.task, worker.entry.id, listed.run);
-    if (job->state == Jobs::job_state::Pending) {
-        job->state = Jobs::job_state::Running;
-        m_dirty.insert(listed.task.job.value);
-    }
+    job.place(listed.task, worker.entry.id, listed.run);
+    m_dirty.insert(job.record().id.value);
+    markRunning(job);
+}
+
+void dispatcher::markRunning(open_job& job)
+{
+    if (job.state != Jobs::job_state::Pending)
+        return;
+    job.state = Jobs::job_state::Running;
+    m_dirty.insert(job.record().id.value);
 }
 
 void dispatcher::updateRun(worker_state& worker, const Jobs::task_name& name, task_run& run,
--- a/Source/Core/Dispatch/DispatcherLeases.cpp
+++ b/Source/Core/Dispatch/DispatcherLeases.cpp
@@ -21,10 +21,12 @@
 {
     const auto& lease = m_options.lease;
     m_knownUntil = Common::instant::max();
+    m_isConfirmed = standing.isConfirmed(now);
+    m_isUnsure = !m_isConfirmed || standing.isInDoubt;
     m_grant = Common::millis(0);
     if (!standing.isHeld)
         return;
-    if (standing.isConfirmed(now) && !standing.isInDoubt) {
+    if (!m_isUnsure) {
         m_grant = lease.lease;
         return;
     }
@@ -40,11 +42,14 @@
     for (auto entry = m_workers.begin(); entry != m_workers.end();) {
         auto& worker = entry->second;
         const bool hasLapsed = now >= worker.lapseBound && !worker.isHoldOpen;
-        if (hasLapsed && !worker.runs.empty()) {
+        // What hasn't been sent there holds no lease yet.
+        const bool hasSent = std::any_of(
+            worker.runs.begin(), worker.runs.end(), [](const auto& held) { return held.second.isSent; });
+        if (hasLapsed && hasSent) {
             observe({ .kind = dispatch_event_kind::WorkerLapsed, .worker = worker.entry.id });
             loseAllRuns(worker, now);
         }
-        if (hasLapsed && !worker.isListed) {
+        if (hasLapsed && !worker.isListed && worker.runs.empty()) {
             m_uncovered.erase(entry->first);
             m_toldEnd.erase(entry->first);
             entry = m_workers.erase(entry);
@@ -58,7 +63,7 @@
 {
     for (auto& [id, worker] : m_workers) {
         for (auto& [name, run] : worker.runs) {
-            if (run.phase != run_phase::Stopping || run.isStopOpen || run.stopTakenAt)
+            if (run.phase != run_phase::Stopping || !run.isSent || run.isStopOpen || run.stopTakenAt)
                 continue;
             if (run.stopSentAt && now < *run.stopSentAt + stopRepeat)
                 continue;
@@ -76,15 +81,12 @@
         if (worker.isHoldOpen || now < worker.nextHold || worker.entry.address.port == 0)
             continue;
         const bool hasNews = worker.notedEnd > m_toldEnd[id];
-        if (worker.isInventoried && worker.runs.empty() && !hasNews)
-            continue;
         const auto hasPhase = [&runs = worker.runs](run_phase phase) {
             return std::any_of(
                 runs.begin(), runs.end(), [phase](const auto& entry) { return entry.second.phase == phase; });
         };
         // A start brings its own lease; its answer is worth waiting for.
-        if (worker.isInventoried && !hasNews && hasPhase(run_phase::Starting) && !hasPhase(run_phase::Running)
-            && !hasPhase(run_phase::Stopping))
+        if (worker.isInventoried && !hasNews && !hasPhase(run_phase::Running) && !hasPhase(run_phase::Stopping))
             continue;
         hold_order order { .worker = { worker.entry.id, worker.entry.address }, .noted = worker.notedEnd };
         // A silent worker gets no new time, so that what runs there lapses.
--- a/Source/Core/Dispatch/OpenJob.cpp
+++ b/Source/Core/Dispatch/OpenJob.cpp
@@ -6,6 +6,7 @@
 
 open_job::open_job(const Jobs::job_record& record, const Jobs::job_progress& progress, run_number base)
     : state(progress.state)
+    , isNoted(progress.state != Jobs::job_state::Pending || !progress.tasks.empty())
     , m_record(record)
     , m_base(base)
 {
@@ -98,6 +99,7 @@
     auto* task = find(name);
     task->phase = task_phase::Placed;
     task->worker = worker;
+    task->run = run;
     task->lastRun = std::max(task->lastRun, run);
     ++m_occurrences[name.occurrence].steps[static_cast<std::size_t>(name.step)].placed;
 }
@@ -135,7 +137,8 @@
             for (std::size_t index = 0; index < tasks.size(); ++index) {
                 const auto& task = tasks[index];
                 const bool isDone = task.phase == task_phase::Done;
-                if (!isDone && task.failedRuns.empty() && task.checkpoint.empty())
+                const bool isPlaced = task.phase == task_phase::Placed;
+                if (!isDone && !isPlaced && task.failedRuns.empty() && task.checkpoint.empty())
                     continue;
                 std::vector<std::int64_t> failed;
                 for (const auto run : task.failedRuns)
@@ -145,7 +148,9 @@
                     .index = static_cast<int>(index),
                     .isDone = isDone,
                     .failedRuns = std::move(failed),
-                    .checkpoint = isDone ? std::string() : task.checkpoint });
+                    .checkpoint = isDone ? std::string() : task.checkpoint,
+                    .worker = isPlaced ? task.worker : Common::worker_id(),
+                    .run = isPlaced ? task.run.value : 0 });
             }
         }
     }
--- a/Source/Core/Dispatch/OpenJob.h
+++ b/Source/Core/Dispatch/OpenJob.h
@@ -18,7 +18,9 @@
 
 struct task_state {
     task_phase phase { task_phase::Waiting };
+    /// Of the present placement.
     Common::worker_id worker;
+    run_number run;
     run_number lastRun;
     std::set<run_number> failedRuns;
     std::string checkpoint;
@@ -70,8 +72,8 @@
     Jobs::job_progress progress() const;
 
     Jobs::job_state state { Jobs::job_state::Pending };
-    /// Progress that the log doesn't have yet.
-    bool isDirty { false };
+    /// The log says more of it than that it was accepted, so a later holder takes it for begun.
+    bool isNoted { false };
     Common::instant addedAt;
     /// Latest wall-clock time at which the job ends on time; earlier ones go first.
     Common::wall_millis dueAt;
--- a/Source/Core/Dispatch/WorkerState.h
+++ b/Source/Core/Dispatch/WorkerState.h
@@ -7,6 +7,10 @@
 namespace Dispatch {
 
 enum class run_phase {
+    /// The start isn't sent before the log has the placement.
+    Planned,
+    /// An earlier holder placed it there; the worker hasn't been asked yet.
+    Inherited,
     /// The start was sent and has no answer yet.
     Starting,
     Running,
@@ -22,6 +26,10 @@
     Common::team_id team;
     bool isLasting { false };
     bool isFiller { false };
+    /// The log has the placement.
+    bool isNoted { false };
+    /// A start may have reached the worker.
+    bool isSent { true };
     Common::instant startedAt;
     /// Last stop order, and whether the worker took it.
     std::optional<Common::instant> stopSentAt;
--- a/Source/Core/Jobs/Job.h
+++ b/Source/Core/Jobs/Job.h
@@ -98,6 +98,9 @@
     /// Runs that failed; the end of one may be listed to a later holder again.
     std::vector<std::int64_t> failedRuns;
     std::string checkpoint;
+    /// Where it was placed, and the number of that run; empty and 0 when nowhere.
+    Common::worker_id worker;
+    std::int64_t run { 0 };
 
     friend bool operator==(const task_progress&, const task_progress&) = default;
 };
--- a/Source/Core/Jobs/JobBook.cpp
+++ b/Source/Core/Jobs/JobBook.cpp
@@ -4,12 +4,14 @@
 
 namespace Jobs {
 
-void job_book::accept(job_record record)
+bool job_book::accept(job_record record)
 {
     auto& job = m_jobs[record.id.value];
     // The first copy of an id counts; a caller that had no answer sends it again.
-    if (!job.record)
-        job.record = std::move(record);
+    if (job.record)
+        return false;
+    job.record = std::move(record);
+    return true;
 }
 
 void job_book::cancel(const Common::job_id& id)
@@ -20,7 +22,9 @@
 void job_book::advance(job_progress progress)
 {
     auto& job = m_jobs[progress.job.value];
-    job.progress = std::move(progress);
+    // The holder knows of an end before it reads its own records back.
+    if (!isFinal(job.progress.state))
+        job.progress = std::move(progress);
 }
 
 void job_book::forget(const Common::job_id& id)
--- a/Source/Core/Jobs/JobBook.h
+++ b/Source/Core/Jobs/JobBook.h
@@ -19,7 +19,8 @@
 /// All jobs of the log: a pure function of its records, whatever the order of the two topics.
 class job_book {
 public:
-    void accept(job_record);
+    /// False when the job was known.
+    bool accept(job_record);
     void cancel(const Common::job_id&);
     void advance(job_progress);
     /// Drops a job whose record the log no longer keeps.
--- a/Source/Core/Jobs/JobCodec.cpp
+++ b/Source/Core/Jobs/JobCodec.cpp
@@ -62,6 +62,23 @@
         return step;
     }
 
+    /// A task that is done has three numbers; others tell what is left of them.
+    task_progress taskFromJson(const json& row)
+    {
+        constexpr std::size_t doneSize = 3;
+        task_progress task { .occurrence = row.at(0).get<int>(),
+            .step = row.at(1).get<int>(),
+            .index = row.at(2).get<int>(),
+            .isDone = row.size() == doneSize };
+        if (task.isDone)
+            return task;
+        task.failedRuns = row.at(3).get<std::vector<std::int64_t>>();
+        task.checkpoint = row.at(4).get<std::string>();
+        task.worker = row.at(5).get<Common::worker_id>();
+        task.run = row.at(6).get<std::int64_t>();
+        return task;
+    }
+
     template <typename Read>
     auto readOrNothing(std::string_view bytes, Read read) -> std::optional<decltype(read(json()))>
     {
@@ -113,9 +130,16 @@
 std::string encodeProgress(const job_progress& progress)
 {
     json tasks = json::array();
-    for (const auto& task : progress.tasks)
-        tasks.push_back(json::array({ task.occurrence, task.step, task.index, task.isDone ? 1 : 0,
-            task.failedRuns, task.checkpoint }));
+    for (const auto& task : progress.tasks) {
+        json row = json::array({ task.occurrence, task.step, task.index });
+        if (!task.isDone) {
+            row.push_back(task.failedRuns);
+            row.push_back(task.checkpoint);
+            row.push_back(task.worker);
+            row.push_back(task.run);
+        }
+        tasks.push_back(std::move(row));
+    }
     return Common::writeJson({ { "state", static_cast<int>(progress.state) }, { "tasks", tasks } });
 }
 
@@ -126,12 +150,7 @@
         progress.job = job;
         progress.state = Common::enumFromJson(in.at("state"), lastState);
         for (const auto& row : in.at("tasks"))
-            progress.tasks.push_back({ .occurrence = row.at(0).get<int>(),
-                .step = row.at(1).get<int>(),
-                .index = row.at(2).get<int>(),
-                .isDone = row.at(3).get<int>() != 0,
-                .failedRuns = row.at(4).get<std::vector<std::int64_t>>(),
-                .checkpoint = row.at(5).get<std::string>() });
+            progress.tasks.push_back(taskFromJson(row));
         return progress;
     });
 }
--- a/Source/Core/Records/BatchAppender.cpp
+++ b/Source/Core/Records/BatchAppender.cpp
@@ -37,6 +37,7 @@
     if (m_isBusy || m_waiting.empty() || m_isStopped)
         return;
     m_isBusy = true;
+    m_batchBegan = m_timers.now();
     const auto due = m_lastSend + m_options.gap;
     const auto now = m_timers.now();
     if (due <= now) {
--- a/Source/Core/Records/BatchAppender.h
+++ b/Source/Core/Records/BatchAppender.h
@@ -33,7 +33,8 @@
     void add(std::vector<keyed_record>, done_handler);
     /// Nothing more is sent; what waits is dropped without a word.
     void stop() { m_isStopped = true; }
-    bool isIdle() const { return !m_isBusy && m_waiting.empty(); }
+    /// Whether a batch has had no answer for so long.
+    bool isStuck(Common::millis time) const { return m_isBusy && m_timers.now() - m_batchBegan >= time; }
 
 private:
     struct entry {
--- a/Source/Core/Records/RecordStore.h
+++ b/Source/Core/Records/RecordStore.h
@@ -85,21 +85,6 @@
     Common::log_offset end;
 };
 
-/// What the store's group tells one of its members.
-struct group_share {
-    std::int64_t generation { 0 };
-    /// Partitions that belong to this member.
-    std::vector<int> parts;
-};
-
-struct group_request {
-    std::string group;
-    std::string member;
-    std::string topic;
-    Common::millis timeToLive { 0 };
-    std::int64_t generation { 0 };
-};
-
 class record_store {
 public:
     virtual ~record_store() = default;
@@ -113,11 +98,6 @@
     virtual void newest(
         const topic_part&, const std::string& afterKey, Common::millis timeout, std::function<void(newest_result)>)
         = 0;
-    /// Joins, or stays in, the group. Empty without an answer.
-    virtual void join(
-        const group_request&, Common::millis timeout, std::function<void(std::optional<group_share>)>)
-        = 0;
-    virtual void leave(const group_request&, Common::millis timeout, std::function<void()>) = 0;
 };
 
 /// Timers for code that runs on the event loop.
--- a/Source/Core/Station/CallerDesk.cpp
+++ b/Source/Core/Station/CallerDesk.cpp
@@ -122,7 +122,8 @@
         .spec = std::move(*spec) };
     m_parts.appender.add({ jobRecord(job) }, [this, job, respond](Records::append_outcome outcome) {
         if (outcome == Records::append_outcome::Stored) {
-            m_parts.book.accept(job);
+            if (m_parts.book.accept(job))
+                m_parts.jobs.jobAccepted(job.id);
             Common::writeEvent(Common::log_level::Info, Common::log_category::Jobs, "accepted",
                 { { "job", job.id.value }, { "queue", job.queue.value }, { "team", job.team.value } });
             respond({ .status = 200, .body = "{}" });
--- a/Source/Core/Station/CallerDesk.h
+++ b/Source/Core/Station/CallerDesk.h
@@ -3,9 +3,10 @@
 #include "Entry/CallerCall.h"
 #include "EventLoop/HttpMessages.h"
 #include "Jobs/JobBook.h"
-#include "Records/BatchAppender.h"
 #include "Records/FollowerGroup.h"
+#include "Records/SpreadAppender.h"
 #include "Station/Counters.h"
+#include "Station/JobFeeds.h"
 
 #include <memory>
 
@@ -23,9 +24,11 @@
 struct caller_desk_parts {
     Records::timer_service& timers;
     Jobs::job_book& book;
+    /// Told of jobs that this desk has stored, as of those that are read.
+    job_listener& jobs;
     Records::topic_follower& operators;
     Records::follower_group& intake;
-    Records::batch_appender& appender;
+    Records::spread_appender& appender;
     const caller_format& format;
     counters& figures;
 };
--- a/Source/Core/Station/EntryStation.cpp
+++ b/Source/Core/Station/EntryStation.cpp
@@ -3,6 +3,8 @@
 #include "Common/Hashing.h"
 #include "Common/Logging.h"
 
+#include <utility>
+
 namespace Station {
 
 namespace {
@@ -24,13 +26,12 @@
     constexpr Common::millis storePatience { 2300 };
     /// How long a new holder waits for the store before it gives its seat up.
     constexpr Common::millis tenurePatience { 2000 };
-    constexpr Common::millis seatTimeToLive { 1000 };
+    constexpr Common::millis releaseTimeout { 300 };
     /// The balancer looks once a second and takes an instance out after two misses.
     constexpr Common::millis balancerGrace { 2500 };
     constexpr Common::millis retirePoll { 50 };
     /// Kept back from the grace of a stop, for the end itself.
     constexpr Common::millis stopReserve { 700 };
-    constexpr auto seatGroup = "holders";
     constexpr auto holderWriter = "holder";
 
 }
@@ -79,11 +80,15 @@
     m_intake = std::make_unique<Records::follower_group>(std::move(intakes));
     m_progress = follow(m_parts.topics.progress, progressGap, m_progressFeed);
     const auto ownPart = static_cast<int>(Common::rendezvousRank(m_parts.topics.intake.topic, m_member) % intakeParts);
-    m_appender = std::make_shared<Records::batch_appender>(m_parts.store, *m_timers,
-        Records::appender_options {
-            .where = { m_parts.topics.intake.topic, ownPart }, .writer = m_member, .giveUpAfter = storePatience });
+    m_appender = std::make_shared<Records::spread_appender>(m_parts.store, *m_timers,
+        Records::spread_options { .topic = m_parts.topics.intake.topic,
+            .parts = intakeParts,
+            .firstPart = ownPart,
+            .writer = m_member,
+            .settleAfter = storePatience });
     m_desk = std::make_unique<caller_desk>(caller_desk_parts { .timers = *m_timers,
         .book = m_book,
+        .jobs = *this,
         .operators = *m_operators,
         .intake = *m_intake,
         .appender = *m_appender,
@@ -91,10 +96,8 @@
         .figures = m_figures });
     m_seat = std::make_shared<holder_seat>(m_parts.store, *m_timers,
         seat_options { .member = m_member,
-            .group = seatGroup,
             .progressTopic = m_parts.topics.progress,
-            .writer = holderWriter,
-            .timeToLive = std::max(seatTimeToLive, m_settings.shortestMembership) },
+            .writer = holderWriter },
         *m_progress, m_progressFeed);
     m_callers = std::make_unique<EventLoop::http_listener>(m_parts.loop, m_settings.callers,
         EventLoop::listener_limits {}, [this](const EventLoop::http_request& request, const EventLoop::responder& respond) {
@@ -106,7 +109,7 @@
         });
     if (!m_callers->start() || !m_readiness->start() || !startMetrics())
         return false;
-    m_seat->start([this](const won_seat& won) { beginTenure(won); }, [this] { endTenure(); });
+    m_seat->start([this](const won_seat& won) { beginTenure(won); });
     return true;
 }
 
@@ -145,36 +148,37 @@
 void entry_station::beginTenure(const won_seat& won)
 {
     m_intake->setGap(holderGap);
+    m_run = std::make_shared<holder_run>(holder_parts { .store = m_parts.store,
+                                             .timers = *m_timers,
+                                             .workers = m_parts.workers,
+                                             .instances = m_parts.instances,
+                                             .operatorFormat = m_parts.operatorFormat,
+                                             .book = m_book,
+                                             .seat = *m_seat,
+                                             .progress = m_progressFeed,
+                                             .figures = m_figures },
+        holder_tenure { .token = { won.token },
+            .number = won.number,
+            .progressTopic = m_parts.topics.progress,
+            .statusTopic = m_parts.topics.status,
+            .writer = holderWriter,
+            .stopTime = m_settings.stopTime },
+        [this] { endTenure(); });
+    m_run->open();
     // Workers and jobs that an earlier holder dealt with must be known before anything is started.
-    m_workerList->refresh(tenurePatience, [this, won](bool isRead) {
-        if (isRead)
-            readJobsForTenure(won);
-        else
-            endTenure();
-    });
+    m_workerList->refresh(tenurePatience, [this, run = m_run](bool isRead) { readJobsForTenure(run, isRead); });
 }
 
-void entry_station::readJobsForTenure(const won_seat& won)
+void entry_station::readJobsForTenure(const std::shared_ptr<holder_run>& run, bool areWorkersRead)
 {
-    m_intake->refresh(tenurePatience, [this, won](bool isRead) {
-        if (!isRead || !m_seat->standing().isConfirmed(m_timers->now()) || !m_rules) {
-            endTenure();
+    m_intake->refresh(tenurePatience, [this, run, areWorkersRead](bool isRead) {
+        if (run != m_run)
             return;
-        }
-        m_run = std::make_shared<holder_run>(holder_parts { .store = m_parts.store,
-                                                 .timers = *m_timers,
-                                                 .workers = m_parts.workers,
-                                                 .instances = m_parts.instances,
-                                                 .operatorFormat = m_parts.operatorFormat,
-                                                 .book = m_book,
-                                                 .figures = m_figures },
-            holder_tenure { .token = { won.token },
-                .number = won.number,
-                .progressTopic = m_parts.topics.progress,
-                .statusTopic = m_parts.topics.status,
-                .writer = holderWriter,
-                .stopTime = m_settings.stopTime });
-        fillTenure(m_run);
+        const bool isConfirmed = m_seat->standing().isConfirmed(m_timers->now());
+        if (areWorkersRead && isRead && isConfirmed && m_rules)
+            fillTenure(run);
+        else
+            endTenure();
     });
 }
 
@@ -185,17 +189,25 @@
     run->setWaves(m_waves);
     for (const auto& [id, worker] : m_workers)
         run->workerListed(worker.entry, worker.seenAt);
-    run->start(
-        m_progressFeed.waves(), [this] { return m_seat->standing(); }, [this] { endTenure(); });
+    run->start(m_progressFeed.waves());
 }
 
 void entry_station::endTenure()
 {
-    if (m_run)
-        m_run->stop();
-    m_run.reset();
+    const auto run = std::exchange(m_run, nullptr);
+    const bool isFullyNoted = run && run->isFullyNoted();
+    if (run)
+        run->stop();
     m_intake->setGap(intakeGap);
     m_seat->vacate();
+    if (!isFullyNoted)
+        return;
+    Common::writeEvent(Common::log_level::Info, Common::log_category::Roster, "seat_released",
+        { { "number", std::to_string(run->number()) } });
+    // The next holder needn't wait for workers that don't answer it.
+    const Records::append_request release { .where = m_parts.topics.progress,
+        .records = { releaseRecord(run->number()) } };
+    m_parts.store.append(release, releaseTimeout, [](const auto&) {});
 }
 
 void entry_station::retire()
@@ -205,8 +217,8 @@
     m_isRetiring = true;
     m_retiringSince = m_timers->now();
     Common::writeEvent(Common::log_level::Info, Common::log_category::Daemon, "retiring", {});
+    m_seat->leave();
     endTenure();
-    m_seat->leave([] {});
     finishRetiring();
 }
 
--- a/Source/Core/Station/EntryStation.h
+++ b/Source/Core/Station/EntryStation.h
@@ -64,8 +64,9 @@
     void answerReadiness(const EventLoop::http_request&, const EventLoop::responder&) const;
     bool startMetrics();
     void beginTenure(const won_seat&);
-    void readJobsForTenure(const won_seat&);
+    void readJobsForTenure(const std::shared_ptr<holder_run>&, bool areWorkersRead);
     void fillTenure(const std::shared_ptr<holder_run>&);
+    /// Ends the tenure, if there is one, and tells the next holder what it may rely on.
     void endTenure();
     void finishRetiring();
     std::shared_ptr<Records::topic_follower> follow(
@@ -83,7 +84,7 @@
     std::shared_ptr<Records::topic_follower> m_workerList;
     std::unique_ptr<Records::follower_group> m_intake;
     std::shared_ptr<Records::topic_follower> m_progress;
-    std::shared_ptr<Records::batch_appender> m_appender;
+    std::shared_ptr<Records::spread_appender> m_appender;
     std::shared_ptr<holder_seat> m_seat;
     std::shared_ptr<holder_run> m_run;
     std::unique_ptr<caller_desk> m_desk;
--- a/Source/Core/Station/HolderRun.cpp
+++ b/Source/Core/Station/HolderRun.cpp
@@ -16,7 +16,13 @@
     /// A look may take this long beyond its wait.
     constexpr Common::millis holdPatience { 700 };
     /// Shortest time between two appends of progress.
-    constexpr Common::millis commitGap { 12 };
+    constexpr Common::millis commitGap { 4 };
+    /// A holder that has nothing else to store shows itself this often.
+    constexpr Common::millis signInterval { 150 };
+    /// An append of progress is sent again after this time; 60 times slower than usual, the store answers sooner.
+    constexpr Common::millis commitTimeout { 600 };
+    /// An append of progress that takes longer puts the store's health in doubt.
+    constexpr Common::millis slowCommit { 200 };
     /// Run numbers that one tenure may use for a task.
     constexpr std::int64_t runsPerTenure = 1000;
 
@@ -113,7 +119,8 @@
 
 }
 
-holder_run::holder_run(const holder_parts& parts, const holder_tenure& tenure)
+holder_run::holder_run(
+    const holder_parts& parts, const holder_tenure& tenure, std::function<void()> onLost)
     : m_parts(parts)
     , m_tenure(tenure)
     , m_dispatcher({ .token = tenure.token,
@@ -125,8 +132,10 @@
               .writer = tenure.writer,
               .epoch = tenure.token.value,
               .sequence = 1,
-              .gap = commitGap }))
+              .gap = commitGap,
+              .callTimeout = commitTimeout }))
 {
+    m_onLost = std::move(onLost);
     if (!parts.instances)
         return;
     const fleet_parts fleet { .store = parts.store,
@@ -141,11 +150,11 @@
         });
 }
 
-void holder_run::start(const std::map<std::int64_t, Capacity::wave_status>& waves,
-    std::function<Dispatch::seat_standing()> standing, std::function<void()> onLost)
+void holder_run::open() { beat(); }
+
+void holder_run::start(const std::map<std::int64_t, Capacity::wave_status>& waves)
 {
-    m_standing = std::move(standing);
-    m_onLost = std::move(onLost);
+    m_isStarted = true;
     const auto now = m_parts.timers.now();
     for (const auto& id : m_parts.book.openJobs()) {
         const auto* job = m_parts.book.find(id);
@@ -158,7 +167,7 @@
     }
     if (m_fleet)
         m_fleet->start(waves);
-    beat();
+    wake();
 }
 
 void holder_run::stop()
@@ -220,7 +229,7 @@
 void holder_run::jobAccepted(const Common::job_id& id)
 {
     const auto* job = m_parts.book.find(id);
-    if (!job)
+    if (!job || !m_isStarted)
         return;
     m_dispatcher.addJob(*job->record, job->progress, m_parts.timers.now());
     if (job->isCancelled)
@@ -238,8 +247,12 @@
 {
     if (m_isOver)
         return;
-    wake();
-    forgetWorkers();
+    if (m_isStarted) {
+        wake();
+        forgetWorkers();
+    } else {
+        flush();
+    }
     m_parts.timers.after(beatInterval, [self = shared_from_this()] { self->beat(); });
 }
 
@@ -257,19 +270,23 @@
 
 void holder_run::wake()
 {
-    if (m_isTurnDue || m_isOver)
+    if (m_isTurnDue || m_isOver || !m_isStarted)
         return;
     m_isTurnDue = true;
     m_parts.timers.after(turnDelay, [self = shared_from_this()] {
         self->m_isTurnDue = false;
-        if (!self->m_isOver)
-            self->turn();
+        self->turn();
     });
 }
 
 void holder_run::turn()
 {
-    const auto standing = m_standing();
+    if (m_isOver || !m_isStarted)
+        return;
+    auto standing = m_parts.seat.standing();
+    standing.isInDoubt = standing.isInDoubt || (m_commitsOpen > 0 && m_parts.timers.now() - m_commitBegan > slowCommit);
+    if (m_parts.progress.released() + 1 >= m_tenure.number)
+        m_dispatcher.trustNotes();
     // Instances go first: a worker that is about to leave gets no more starts.
     if (m_fleet)
         m_fleet->turn(standing.isConfirmed(m_parts.timers.now()));
@@ -333,17 +350,23 @@
 {
     if (m_commitsOpen > 0 || m_isOver)
         return;
-    auto batch = m_dispatcher.takeCommit();
-    if (batch.empty())
-        return;
-    if (batch.progress.empty()) {
-        m_dispatcher.onCommitted(batch, m_parts.timers.now());
-        return;
-    }
+    const auto batch = m_dispatcher.takeCommit();
     std::vector<Records::keyed_record> records;
     for (const auto& progress : batch.progress)
         records.push_back(progressRecord(progress));
+    if (records.empty() && !batch.empty())
+        m_dispatcher.onCommitted(batch, m_parts.timers.now());
+    // Records show the others that the seat is held.
+    if (records.empty() && m_parts.timers.now() - m_commitBegan >= signInterval)
+        records.push_back(signRecord(m_tenure.number));
+    if (!records.empty())
+        store(std::move(records), batch);
+}
+
+void holder_run::store(std::vector<Records::keyed_record> records, const Dispatch::commit_batch& batch)
+{
     ++m_commitsOpen;
+    m_commitBegan = m_parts.timers.now();
     m_appender->add(
         std::move(records), [self = shared_from_this(), batch](Records::append_outcome outcome) {
             --self->m_commitsOpen;
@@ -351,10 +374,12 @@
                 self->lose("fenced_by_store");
                 return;
             }
+            self->m_parts.seat.confirm(self->m_commitBegan);
             for (const auto& progress : batch.progress)
                 self->m_parts.book.advance(progress);
             self->m_dispatcher.onCommitted(batch, self->m_parts.timers.now());
-            self->wake();
+            // Starts that waited for the log go out without delay.
+            self->turn();
         });
 }
 
--- a/Source/Core/Station/HolderRun.h
+++ b/Source/Core/Station/HolderRun.h
@@ -6,6 +6,7 @@
 #include "Records/BatchAppender.h"
 #include "Station/Counters.h"
 #include "Station/FleetRun.h"
+#include "Station/HolderSeat.h"
 
 #include <memory>
 
@@ -19,6 +20,8 @@
     Capacity::instance_gateway* instances { nullptr };
     const operator_format& operatorFormat;
     Jobs::job_book& book;
+    holder_seat& seat;
+    const progress_feed& progress;
     counters& figures;
 };
 
@@ -36,14 +39,19 @@
 /// One tenure of the holder: feeds the dispatcher, carries its orders out, and stores its progress.
 class holder_run : public Dispatch::dispatch_observer, public std::enable_shared_from_this<holder_run> {
 public:
-    holder_run(const holder_parts&, const holder_tenure&);
+    /// `onLost` is called when another holder has taken over.
+    holder_run(const holder_parts&, const holder_tenure&, std::function<void()> onLost);
 
-    /// `standing` tells how sure the seat is at a moment.
-    void start(const std::map<std::int64_t, Capacity::wave_status>& waves,
-        std::function<Dispatch::seat_standing()> standing, std::function<void()> onLost);
+    /// Shows the others that the seat is held.
+    void open();
+    /// Begins to give orders; rules, workers and jobs must have been read.
+    void start(const std::map<std::int64_t, Capacity::wave_status>& waves);
     /// Gives no more orders. What runs goes on under its leases.
     void stop();
     bool isOver() const { return m_isOver; }
+    std::int64_t number() const { return m_tenure.number; }
+    /// Whether the log has all that this holder, and those before it, may have started.
+    bool isFullyNoted() const { return m_isStarted && m_dispatcher.isFullyNoted(m_parts.timers.now()); }
 
     void setRules(const Rules::fleet_rules&);
     void setEvacuated(const std::set<Common::data_centre_id>&);
@@ -68,6 +76,7 @@
     void sendPace(const Dispatch::pace_order&);
     void keepWave(const Capacity::wave_status&, const std::function<void()>& onStored);
     void flush();
+    void store(std::vector<Records::keyed_record>, const Dispatch::commit_batch&);
     void lose(const char* why);
 
     holder_parts m_parts;
@@ -76,11 +85,12 @@
     std::shared_ptr<Records::batch_appender> m_appender;
     /// Empty when instances can't be moved or maintained.
     std::shared_ptr<fleet_run> m_fleet;
-    std::function<Dispatch::seat_standing()> m_standing;
     std::function<void()> m_onLost;
     int m_commitsOpen { 0 };
+    Common::instant m_commitBegan;
     Common::instant m_forgotAt;
     bool m_isTurnDue { false };
+    bool m_isStarted { false };
     bool m_isOver { false };
 };
 
--- a/Source/Core/Station/HolderSeat.cpp
+++ b/Source/Core/Station/HolderSeat.cpp
@@ -1,23 +1,23 @@
 #include "Station/HolderSeat.h"
 
+#include "Common/Hashing.h"
 #include "Common/Logging.h"
 
-#include <algorithm>
-
 namespace Station {
 
 namespace {
 
-    constexpr Common::millis joinInterval { 250 };
-    constexpr Common::millis joinTimeout { 500 };
-    /// A join that takes longer puts the store's health in doubt.
-    constexpr Common::millis slowJoin { 200 };
+    constexpr Common::millis watchInterval { 50 };
+    /// A holder whose records have stopped for so long, by reads that the store answered, has lost its seat.
+    constexpr Common::millis quietTime { 700 };
+    /// The store is asked first after this part of it, so that an outage isn't taken for a quiet holder.
+    constexpr Common::millis probeTime { 300 };
+    /// Candidates begin up to this time apart, so that most claims aren't in vain.
+    constexpr std::uint64_t spreadMillis = 100;
+    constexpr Common::millis probeTimeout { 500 };
     constexpr Common::millis claimTimeout { 1200 };
-    constexpr Common::millis claimRetry { 80 };
-    /// Part of the time to live for which a join confirms the seat; the rest covers clocks that differ.
+    /// Part of the quiet time for which a record confirms the seat; the rest covers clocks that differ.
     constexpr double confirmedShare = 0.85;
-    /// Partition of the group's topic that stands for the holder's seat.
-    constexpr int seatPart = 0;
 
 }
 
@@ -31,75 +31,65 @@
 {
 }
 
-void holder_seat::start(std::function<void(won_seat)> onWon, std::function<void()> onDealtAway)
+void holder_seat::start(std::function<void(won_seat)> onWon)
 {
     m_onWon = std::move(onWon);
-    m_onDealtAway = std::move(onDealtAway);
-    join();
+    watch();
 }
 
 Dispatch::seat_standing holder_seat::standing() const
 {
-    const bool isLate = m_joinBegan && m_timers.now() - *m_joinBegan > slowJoin;
-    return { .isHeld = m_isDealtHere, .confirmedUntil = m_confirmedUntil, .isInDoubt = m_hasFailed || isLate };
+    return { .isHeld = m_state == seat_state::Holding, .confirmedUntil = m_confirmedUntil };
 }
 
-void holder_seat::vacate() { m_state = seat_state::Idle; }
-
-void holder_seat::leave(std::function<void()> onDone)
+void holder_seat::confirm(Common::instant began)
 {
-    m_hasLeft = true;
-    m_isDealtHere = false;
-    m_store.leave({ .group = m_options.group, .member = m_options.member }, joinTimeout, std::move(onDone));
+    const auto time = std::chrono::duration<double, std::milli>(static_cast<double>(quietTime.count()) * confirmedShare);
+    m_confirmedUntil = std::max(m_confirmedUntil, began + std::chrono::duration_cast<Common::boot_clock::duration>(time));
 }
 
-void holder_seat::join()
+void holder_seat::vacate()
 {
-    if (m_hasLeft)
-        return;
-    const auto began = m_timers.now();
-    m_joinBegan = began;
-    m_store.join({ .group = m_options.group,
-                     .member = m_options.member,
-                     .topic = m_options.progressTopic.topic,
-                     .timeToLive = m_options.timeToLive,
-                     .generation = m_generation },
-        joinTimeout, [self = shared_from_this(), began](const std::optional<Records::group_share>& share) {
-            self->m_joinBegan.reset();
-            self->m_hasFailed = !share;
-            self->onShare(share, began);
-            self->m_timers.after(joinInterval, [self] { self->join(); });
-        });
+    m_state = seat_state::Idle;
+    m_quietSince = m_timers.now();
 }
 
-void holder_seat::onShare(const std::optional<Records::group_share>& share, Common::instant began)
+void holder_seat::leave() { m_hasLeft = true; }
+
+bool holder_seat::isFree() const { return m_feed.released() >= m_feed.claim().number; }
+
+void holder_seat::watch()
 {
-    if (!share || m_hasLeft)
+    if (m_hasLeft)
         return;
-    // While the seat wasn't confirmed it may have been dealt to another and back.
-    const bool wasElsewhere = m_state == seat_state::Holding && share->generation != m_generation
-        && began >= m_confirmedUntil;
-    m_generation = share->generation;
-    if (wasElsewhere) {
-        m_state = seat_state::Idle;
-        m_onDealtAway();
-    }
-    const bool wasDealtHere = m_isDealtHere;
-    m_isDealtHere = std::find(share->parts.begin(), share->parts.end(), seatPart) != share->parts.end();
-    if (m_isDealtHere) {
-        const auto time = std::chrono::duration<double, std::milli>(
-            static_cast<double>(m_options.timeToLive.count()) * confirmedShare);
-        m_confirmedUntil = began + std::chrono::duration_cast<Common::boot_clock::duration>(time);
-        if (m_state == seat_state::Idle)
-            claim();
+    m_timers.after(watchInterval, [self = shared_from_this()] { self->watch(); });
+    if (m_state != seat_state::Idle || !m_progress.isFollowing())
         return;
+    const auto now = m_timers.now();
+    const bool isNews = m_progress.next() != m_seen;
+    if (isNews || m_quietSince == Common::instant()) {
+        m_seen = m_progress.next();
+        m_quietSince = now;
+        m_isProbed = false;
     }
-    if (!wasDealtHere || m_state == seat_state::Idle)
-        return;
-    Common::writeEvent(Common::log_level::Info, Common::log_category::Roster, "seat_dealt_away",
-        { { "generation", std::to_string(m_generation) } });
-    m_state = seat_state::Idle;
-    m_onDealtAway();
+    const Common::millis spread { static_cast<std::int64_t>(
+        Common::rendezvousRank(m_options.member, std::to_string(m_feed.claim().number)) % spreadMillis) };
+    const auto quiet = now - m_quietSince;
+    if (isFree() ? quiet >= spread : m_isProbed && quiet >= quietTime + spread)
+        claim();
+    else if (!m_isProbed && !m_isProbing && quiet >= probeTime)
+        probe();
+}
+
+void holder_seat::probe()
+{
+    m_isProbing = true;
+    m_progress.refresh(probeTimeout, [self = shared_from_this()](bool isRead) {
+        self->m_isProbing = false;
+        self->m_isProbed = isRead;
+        if (!isRead)
+            self->m_quietSince = self->m_timers.now();
+    });
 }
 
 void holder_seat::claim()
@@ -109,10 +99,11 @@
     m_progress.refresh(claimTimeout, [self = shared_from_this()](bool isRead) {
         if (self->m_state != seat_state::Claiming)
             return;
-        if (isRead && self->isConfirmed())
+        const bool isQuiet = self->m_progress.next() == self->m_seen;
+        if (isRead && !self->m_hasLeft && (isQuiet || self->isFree()))
             self->sendClaim();
         else
-            self->m_state = seat_state::Idle;
+            self->vacate();
     });
 }
 
@@ -120,34 +111,46 @@
 {
     const auto at = m_progress.next();
     const auto number = m_feed.claim().number + 1;
+    const auto began = m_timers.now();
     const Records::append_request request { .where = m_options.progressTopic,
         .records = { claimRecord({ .member = m_options.member, .number = number }) },
         .endsAt = at,
         .position = Records::writer_position { .writer = m_options.writer, .epoch = at.value + 1, .sequence = 0 } };
-    m_store.append(request, claimTimeout, [self = shared_from_this(), at, number](const auto& result) {
-        self->onClaim(result, at, number);
+    m_store.append(request, claimTimeout, [self = shared_from_this(), at, number, began](const auto& result) {
+        self->onClaim(result, at, number, began);
     });
 }
 
-void holder_seat::onClaim(const Records::append_result& result, Common::log_offset at, std::int64_t number)
+void holder_seat::onClaim(
+    const Records::append_result& result, Common::log_offset at, std::int64_t number, Common::instant began)
 {
     if (m_state != seat_state::Claiming)
         return;
-    if (result.outcome == Records::append_outcome::Stored) {
-        m_state = seat_state::Holding;
-        Common::writeEvent(Common::log_level::Info, Common::log_category::Roster, "seat_claimed",
-            { { "token", std::to_string(at.value + 1) }, { "number", std::to_string(number) } });
-        m_onWon({ .token = at.value + 1, .number = number });
+    if (result.outcome != Records::append_outcome::Stored) {
+        // A claim without an answer may stand; the next one has a higher token all the same.
+        vacate();
         return;
     }
-    // A claim without an answer may stand; the next one has a higher token all the same.
-    m_timers.after(claimRetry, [self = shared_from_this()] {
+    // The store answers two claims of one moment alike, as one append that was sent twice.
+    m_progress.refresh(claimTimeout, [self = shared_from_this(), at, number, began](bool isRead) {
         if (self->m_state != seat_state::Claiming)
             return;
-        self->m_state = seat_state::Idle;
-        if (self->isConfirmed())
-            self->claim();
+        const auto& newest = self->m_feed.claim();
+        if (isRead && newest.member == self->m_options.member && newest.number == number)
+            self->win({ .token = at.value + 1, .number = number }, began);
+        else
+            self->vacate();
     });
 }
 
+void holder_seat::win(const won_seat& won, Common::instant began)
+{
+    m_state = seat_state::Holding;
+    m_confirmedUntil = {};
+    confirm(began);
+    Common::writeEvent(Common::log_level::Info, Common::log_category::Roster, "seat_claimed",
+        { { "token", std::to_string(won.token) }, { "number", std::to_string(won.number) } });
+    m_onWon(won);
+}
+
 }
--- a/Source/Core/Station/HolderSeat.h
+++ b/Source/Core/Station/HolderSeat.h
@@ -10,11 +10,9 @@
 struct seat_options {
     /// Unique to this life of the process.
     std::string member;
-    std::string group;
     Records::topic_part progressTopic;
     /// Name of the sequence of records that holders write.
     std::string writer;
-    Common::millis timeToLive { 1500 };
 };
 
 /// A won claim.
@@ -23,20 +21,21 @@
     std::int64_t number { 1 };
 };
 
-/// Keeps this process in the store's group, and claims the holder's seat when the group deals it here.
-/// The group only proposes: who holds is decided by the claim, which the store takes from one.
+/// Watches the records of the present holder, and claims its seat when they stop or when it gave the seat up. Who
+/// holds is decided by the claim, which the store takes from one.
 class holder_seat : public std::enable_shared_from_this<holder_seat> {
 public:
     holder_seat(Records::record_store&, Records::timer_service&, const seat_options&,
         Records::topic_follower& progress, const progress_feed& feed);
 
-    /// `onWon` is called after a claim, `onDealtAway` once the group deals the seat elsewhere.
-    void start(std::function<void(won_seat)> onWon, std::function<void()> onDealtAway);
+    void start(std::function<void(won_seat)> onWon);
+    /// A record of our tenure is stored whose append began then: nobody can claim for some time after that.
+    void confirm(Common::instant began);
     Dispatch::seat_standing standing() const;
     /// The holder has lost its seat and may claim it again.
     void vacate();
-    /// Leaves the group and claims no more.
-    void leave(std::function<void()> onDone);
+    /// Claims no more.
+    void leave();
 
 private:
     enum class seat_state {
@@ -45,12 +44,14 @@
         Holding
     };
 
-    bool isConfirmed() const { return standing().isConfirmed(m_timers.now()); }
-    void join();
-    void onShare(const std::optional<Records::group_share>&, Common::instant began);
+    void watch();
+    bool isFree() const;
+    void probe();
     void claim();
     void sendClaim();
-    void onClaim(const Records::append_result&, Common::log_offset at, std::int64_t number);
+    void onClaim(const Records::append_result&, Common::log_offset at, std::int64_t number, Common::instant began);
+
+    void win(const won_seat&, Common::instant began);
 
     Records::record_store& m_store;
     Records::timer_service& m_timers;
@@ -58,13 +59,13 @@
     Records::topic_follower& m_progress;
     const progress_feed& m_feed;
     std::function<void(won_seat)> m_onWon;
-    std::function<void()> m_onDealtAway;
     seat_state m_state { seat_state::Idle };
-    bool m_isDealtHere { false };
     bool m_hasLeft { false };
-    bool m_hasFailed { false };
-    std::optional<Common::instant> m_joinBegan;
-    std::int64_t m_generation { 0 };
+    bool m_isProbing { false };
+    /// The store has confirmed that nothing new was stored since `m_quietSince`.
+    bool m_isProbed { false };
+    Common::log_offset m_seen;
+    Common::instant m_quietSince;
     Common::instant m_confirmedUntil;
 };
 
--- a/Source/Core/Station/JobFeeds.cpp
+++ b/Source/Core/Station/JobFeeds.cpp
@@ -4,6 +4,8 @@
 #include "Common/Logging.h"
 #include "Jobs/JobCodec.h"
 
+#include <algorithm>
+
 namespace Station {
 
 namespace {
@@ -11,6 +13,8 @@
     /// Before the identifier of a job, in the key of its cancellation.
     constexpr char cancelMark = '~';
     constexpr auto claimKey = "@holder";
+    constexpr auto releaseKey = "@released";
+    constexpr auto signKey = "@sign";
     constexpr std::string_view wavePrefix = "@wave/";
 
     void reportUnreadable(const char* what, const Records::keyed_record& record)
@@ -56,6 +60,13 @@
         .value = Common::writeJson({ { "member", claim.member }, { "number", claim.number } }) };
 }
 
+Records::keyed_record signRecord(std::int64_t number) { return { .key = signKey, .value = std::to_string(number) }; }
+
+Records::keyed_record releaseRecord(std::int64_t number)
+{
+    return { .key = releaseKey, .value = Common::writeJson({ { "number", number } }) };
+}
+
 Records::keyed_record waveRecord(const Capacity::wave_status& status)
 {
     return { .key = std::string(wavePrefix) + std::to_string(status.wave),
@@ -89,8 +100,8 @@
         return;
     }
     const auto id = job->id;
-    m_book.accept(std::move(*job));
-    m_listener.jobAccepted(id);
+    if (m_book.accept(std::move(*job)))
+        m_listener.jobAccepted(id);
 }
 
 progress_feed::progress_feed(Jobs::job_book& book)
@@ -107,7 +118,13 @@
                 .number = claim->value("number", std::int64_t { 0 }) };
         return;
     }
-    if (record.value.empty())
+    if (record.key == releaseKey) {
+        const auto release = Common::parseJson(record.value);
+        if (release && release->is_object())
+            m_released = std::max(m_released, release->value("number", std::int64_t { 0 }));
+        return;
+    }
+    if (record.value.empty() || record.key == signKey)
         return;
     if (record.key.starts_with(wavePrefix)) {
         if (const auto status = readWave(record.value))
--- a/Source/Core/Station/JobFeeds.h
+++ b/Source/Core/Station/JobFeeds.h
@@ -17,6 +17,10 @@
 Records::keyed_record cancelRecord(const Common::job_id&);
 Records::keyed_record progressRecord(const Jobs::job_progress&);
 Records::keyed_record claimRecord(const claim_record&);
+/// Shows that the holder with this claim is there.
+Records::keyed_record signRecord(std::int64_t number);
+/// A holder that gives no more orders, all of whose placements stand in the log, by the number of its claim.
+Records::keyed_record releaseRecord(std::int64_t number);
 Records::keyed_record waveRecord(const Capacity::wave_status&);
 
 /// Takes word of jobs as their records are read.
@@ -50,11 +54,14 @@
     void apply(const Records::keyed_record&) override;
     /// The newest claim.
     const claim_record& claim() const { return m_claim; }
+    /// Number of the newest claim that was released.
+    std::int64_t released() const { return m_released; }
     const std::map<std::int64_t, Capacity::wave_status>& waves() const { return m_waves; }
 
 private:
     Jobs::job_book& m_book;
     claim_record m_claim;
+    std::int64_t m_released { 0 };
     std::map<std::int64_t, Capacity::wave_status> m_waves;
 };
 
--- a/Source/Core/Station/StationSettings.h
+++ b/Source/Core/Station/StationSettings.h
@@ -24,8 +24,6 @@
     Common::millis stopGrace { 6000 };
     /// Longest time in which a worker carries out a stop.
     Common::millis stopTime { 200 };
-    /// Shortest time to live of a member of a group that the store takes.
-    Common::millis shortestMembership { 1000 };
 };
 
 }
--- a/Source/UnitTests/Core/Dispatch/DispatcherFixture.h
+++ b/Source/UnitTests/Core/Dispatch/DispatcherFixture.h
@@ -53,7 +53,22 @@
         dispatcher.addJob(record, known, now);
     }
 
+    /// One turn; with the log at hand, placements are stored at once and their starts follow.
     Dispatch::dispatch_orders plan()
+    {
+        auto orders = turn();
+        if (!isStored || !dispatcher.awaitsNotes())
+            return orders;
+        stored = dispatcher.takeCommit();
+        dispatcher.onCommitted(stored, now);
+        const auto more = turn();
+        orders.starts.insert(orders.starts.end(), more.starts.begin(), more.starts.end());
+        orders.stops.insert(orders.stops.end(), more.stops.begin(), more.stops.end());
+        orders.holds.insert(orders.holds.end(), more.holds.begin(), more.holds.end());
+        return orders;
+    }
+
+    Dispatch::dispatch_orders turn()
     {
         now += stepTime;
         if (isConfirmed)
@@ -126,6 +141,10 @@
     Common::wall_millis bornAt { 1000 };
     /// The store keeps confirming the seat.
     bool isConfirmed { true };
+    /// The store takes placements at once.
+    bool isStored { true };
+    /// What it took last.
+    Dispatch::commit_batch stored;
     Dispatch::seat_standing standing { .isHeld = true };
     std::int64_t lastEnd { 0 };
     std::map<Common::worker_id, Dispatch::hold_order> openLooks;
--- a/Source/UnitTests/Core/Dispatch/DispatcherTest.cpp
+++ b/Source/UnitTests/Core/Dispatch/DispatcherTest.cpp
@@ -23,11 +23,21 @@
         f.look(*look, { f.listed(first[1]) }, { f.ended(first[0], end_kind::Done) });
         CHECK(f.plan().starts.empty());
     }
-    SECTION("and runs after them, without waiting for the log")
+    SECTION("and runs after them, once the log has the ends and the placement")
     {
         const auto look = f.nextLook();
         REQUIRE(look);
         f.look(*look, {}, { f.ended(first[0], end_kind::Done), f.ended(first[1], end_kind::Done) });
+        f.isStored = false;
+        CHECK(f.plan().starts.empty());
+        const auto ends = f.dispatcher.takeCommit();
+        REQUIRE(ends.progress.size() == 1);
+        CHECK(ends.progress[0].state == job_state::Running);
+        CHECK(f.plan().starts.empty());
+        auto before = f.nextLook();
+        CHECK((!before || before->noted.value == 0));
+        f.dispatcher.onCommitted(ends, f.now);
+        f.isStored = true;
         const auto second = f.plan().starts;
         REQUIRE(second.size() == 1);
         CHECK(second[0].task.step == 1);
@@ -35,14 +45,6 @@
 
         SECTION("ends are acknowledged to the worker only after they are stored")
         {
-            const auto batch = f.dispatcher.takeCommit();
-            REQUIRE(batch.progress.size() == 1);
-            CHECK(batch.progress[0].state == job_state::Running);
-            auto before = f.nextLook();
-            REQUIRE(before);
-            CHECK(before->noted.value == 0);
-            f.look(*before, { f.listed(second[0]) });
-            f.dispatcher.onCommitted(batch, f.now);
             const auto after = f.nextLook();
             REQUIRE(after);
             CHECK(after->noted.value == 2);
@@ -81,7 +83,7 @@
     dispatcher_fixture f(20, 1000);
     f.dispatcher.workerListed(f.worker("w1"), f.now, f.now);
     f.dispatcher.workerListed(f.worker("w2"), f.now, f.now);
-    f.add(f.job("j", { f.step(1) }));
+    f.add(f.job("j", { f.step(1) }), { .state = job_state::Running });
     const auto holds = f.plan().holds;
     REQUIRE(holds.size() == 2);
     CHECK_FALSE(holds[0].deadline);
@@ -289,11 +291,16 @@
     dispatcher_fixture f;
     Dispatch::dispatcher fresh({ .token = { 9 } }, f.now, f);
     fresh.setRules(f.rules);
-    fresh.addJob(f.job("j", { f.step(1) }), { .job = { "j" } }, f.now);
+    fresh.addJob(f.job("j", { f.step(1) }), { .job = { "j" }, .state = job_state::Running }, f.now);
     fresh.workerListed(f.worker("w1"), f.now, f.now);
     const auto plan = [&] {
+        const Dispatch::seat_standing standing { .isHeld = true, .confirmedUntil = f.now + std::chrono::seconds(1) };
         f.now += std::chrono::milliseconds(10);
-        return fresh.plan(f.now, { 0 }, { .isHeld = true, .confirmedUntil = f.now + std::chrono::seconds(1) });
+        auto orders = fresh.plan(f.now, { 0 }, standing);
+        fresh.onCommitted(fresh.takeCommit(), f.now);
+        const auto starts = fresh.plan(f.now, { 0 }, standing).starts;
+        orders.starts.insert(orders.starts.end(), starts.begin(), starts.end());
+        return orders;
     };
     const auto holds = plan().holds;
     REQUIRE(holds.size() == 1);
@@ -340,7 +347,7 @@
     dispatcher_fixture f(20, 1000);
     f.dispatcher.workerListed(f.worker("w1"), f.now, f.now);
     f.dispatcher.workerListed(f.worker("moved"), f.now - std::chrono::seconds(3), f.now);
-    f.add(f.job("j", { f.step(1) }));
+    f.add(f.job("j", { f.step(1) }), { .state = job_state::Running });
     f.look(*f.nextLook("w1"));
     f.dispatcher.onHold(*f.nextLook("moved"), { .base = f.reply(order_outcome::NotSent) }, f.now, f.now);
     CHECK(f.plan().starts.empty());
--- a/Source/UnitTests/Core/Jobs/JobCodecTest.cpp
+++ b/Source/UnitTests/Core/Jobs/JobCodecTest.cpp
@@ -45,7 +45,8 @@
     const Jobs::job_progress progress { .job = job.id,
         .state = job_state::Running,
         .tasks = { { .occurrence = 1, .step = 0, .index = 2, .isDone = true },
-            { .occurrence = 0, .step = 1, .index = 0, .failedRuns = { 1, 1001 }, .checkpoint = "c" } } };
+            { .occurrence = 0, .step = 1, .index = 0, .failedRuns = { 1, 1001 }, .checkpoint = "c" },
+            { .occurrence = 0, .step = 1, .index = 1, .worker = { "w" }, .run = 1002 } } };
     CHECK(Jobs::decodeProgress(job.id, Jobs::encodeProgress(progress)) == progress);
 }
 
@@ -89,6 +90,14 @@
         CHECK(book.find(job.id)->record->queue.value == "q");
         CHECK(book.waitingIn({ "q" }) == 1);
     }
+    SECTION("a job that is over stays so when older records are read")
+    {
+        CHECK(book.accept(job));
+        CHECK_FALSE(book.accept(job));
+        book.advance({ .job = job.id, .state = job_state::Completed });
+        book.advance({ .job = job.id, .state = job_state::Running });
+        CHECK(book.stateOf(job.id) == job_state::Completed);
+    }
     SECTION("a job that was completed before its cancellation stays completed")
     {
         book.accept(job);
--- a/Source/UnitTests/Core/Records/FakeStore.h
+++ b/Source/UnitTests/Core/Records/FakeStore.h
@@ -6,6 +6,7 @@
 #include <deque>
 #include <map>
 #include <memory>
+#include <set>
 
 /// Runs timers by hand.
 struct manual_timers : Records::timer_service {
@@ -67,6 +68,10 @@
         std::function<void(Records::append_result)> handler) override
     {
         ++appends;
+        if (silentParts.contains(request.where)) {
+            timers.after(timeout, [handler] { handler({ .outcome = Records::append_outcome::Unknown }); });
+            return;
+        }
         answer(
             timeout, handler, [this, request] { return store(request); },
             Records::append_result { .outcome = Records::append_outcome::Refused },
@@ -105,18 +110,6 @@
         answer(timeout, handler, look, Records::newest_result {}, Records::newest_result {});
     }
 
-    void join(const Records::group_request& request, Common::millis timeout,
-        std::function<void(std::optional<Records::group_share>)> handler) override
-    {
-        const auto look = [this, request]() -> std::optional<Records::group_share> {
-            return Records::group_share { .generation = generation,
-                .parts = request.member == owner ? std::vector<int> { 0 } : std::vector<int> {} };
-        };
-        answer(timeout, handler, look, std::optional<Records::group_share> {}, std::optional<Records::group_share> {});
-    }
-
-    void leave(const Records::group_request&, Common::millis, std::function<void()> handler) override { handler(); }
-
     /// Appends as another writer would.
     void put(const Records::topic_part& where, const std::string& key, const std::string& value)
     {
@@ -209,8 +202,8 @@
     Common::millis delay { 4 };
     std::size_t pageSize { 500 };
     std::map<Records::topic_part, partition> parts;
-    std::string owner;
-    std::int64_t generation { 1 };
+    /// Appends to these are neither carried out nor answered.
+    std::set<Records::topic_part> silentParts;
     int appends { 0 };
     int reads { 0 };
     int listings { 0 };
--- /dev/null
+++ b/Source/UnitTests/Core/Records/SpreadAppenderTest.cpp
@@ -0,0 +1,75 @@
+#include "Records/SpreadAppender.h"
+#include "FakeStore.h"
+
+#include <catch2/catch.hpp>
+
+using Records::append_outcome;
+
+namespace {
+
+struct spread_story {
+    void add(const std::string& key)
+    {
+        appender->add(
+            { { .key = key, .value = "v" } }, [this](append_outcome outcome) { outcomes.push_back(outcome); });
+    }
+
+    manual_timers timers;
+    fake_store store { timers };
+    std::shared_ptr<Records::spread_appender> appender = std::make_shared<Records::spread_appender>(
+        store, timers, Records::spread_options { .topic = "t", .parts = 3, .firstPart = 1, .writer = "w" });
+    std::vector<append_outcome> outcomes;
+};
+
+}
+
+TEST_CASE("Records go to the first part as long as it answers", "[records]")
+{
+    spread_story s;
+    s.add("a");
+    s.timers.advance(Common::millis(20));
+    CHECK(s.outcomes == std::vector { append_outcome::Stored });
+    CHECK(s.store.parts[{ "t", 1 }].records.size() == 1);
+}
+
+TEST_CASE("Records of a silent part are stored in another, and later ones don't wait for it", "[records]")
+{
+    spread_story s;
+    s.store.silentParts.insert({ "t", 1 });
+    s.add("a");
+    s.timers.advance(Common::millis(620));
+    CHECK(s.outcomes == std::vector { append_outcome::Stored });
+    CHECK(s.store.parts[{ "t", 2 }].records.size() == 1);
+    s.add("b");
+    s.timers.advance(Common::millis(20));
+    CHECK(s.outcomes == std::vector { append_outcome::Stored, append_outcome::Stored });
+}
+
+TEST_CASE("A store that refuses is reported at once as one that stored nothing", "[records]")
+{
+    spread_story s;
+    s.store.state = fake_store::trouble::Busy;
+    s.add("a");
+    s.timers.advance(Common::millis(500));
+    CHECK(s.outcomes == std::vector { append_outcome::Refused });
+    s.add("b");
+    CHECK(s.outcomes == std::vector { append_outcome::Refused, append_outcome::Refused });
+    s.store.state = fake_store::trouble::None;
+    s.timers.advance(Common::millis(1000));
+    s.add("c");
+    s.timers.advance(Common::millis(20));
+    CHECK(s.outcomes.back() == append_outcome::Stored);
+}
+
+TEST_CASE("Records without any answer may be stored, and what comes later is refused at once", "[records]")
+{
+    spread_story s;
+    s.store.state = fake_store::trouble::Silent;
+    s.add("a");
+    s.timers.advance(Common::millis(1900));
+    CHECK(s.outcomes.empty());
+    s.add("b");
+    CHECK(s.outcomes == std::vector { append_outcome::Refused });
+    s.timers.advance(Common::millis(500));
+    CHECK(s.outcomes == std::vector { append_outcome::Refused, append_outcome::Unknown });
+}
--- /dev/null
+++ b/Source/UnitTests/Core/Station/CallerDeskTest.cpp
@@ -0,0 +1,110 @@
+#include "Station/CallerDesk.h"
+#include "../Records/FakeStore.h"
+
+#include <catch2/catch.hpp>
+
+namespace {
+
+struct plain_format : Station::caller_format {
+    std::optional<Jobs::job_spec> readSpec(std::string_view body) const override
+    {
+        return Jobs::job_spec { .payload = std::string(body), .steps = { {} } };
+    }
+    std::string writeState(Jobs::job_state state) const override { return std::to_string(static_cast<int>(state)); }
+    std::string writeWaiting(int count) const override { return std::to_string(count); }
+};
+
+struct desk_story : Station::job_listener {
+    desk_story()
+    {
+        operators->start();
+        for (const auto& follower : intakeParts)
+            follower->start();
+        Rules::fleet_rules rules;
+        rules.queues = { { .id = { "q" }, .host = "h", .pathPrefix = "/q/", .pool = { "p" } } };
+        rules.teams = { { .id = { "team" }, .keys = { "key" } } };
+        desk.setRules(rules);
+        timers.advance(Common::millis(100));
+    }
+
+    void jobAccepted(const Common::job_id& id) override { accepted.push_back(id.value); }
+    void jobCancelled(const Common::job_id&) override { }
+
+    /// Status of the answer; 0 while there is none.
+    int call(const std::string& method, Common::millis wait = Common::millis(50))
+    {
+        int status = 0;
+        desk.handle({ .method = method,
+                        .target = "/q/0123456789abcdef",
+                        .headers = { { "Host", "h" }, { "Authorization", "Bearer key" } },
+                        .body = "x" },
+            [&status](const EventLoop::http_response& response) { status = response.status; });
+        timers.advance(wait);
+        return status;
+    }
+
+    std::shared_ptr<Records::topic_follower> follow(const std::string& topic, Records::record_sink& sink)
+    {
+        return std::make_shared<Records::topic_follower>(
+            store, timers, Records::follower_options { .where = { topic, 0 } }, sink);
+    }
+
+    struct no_sink : Records::record_sink {
+        void restart() override { }
+        void apply(const Records::keyed_record&) override { }
+    };
+
+    manual_timers timers;
+    fake_store store { timers };
+    Jobs::job_book book;
+    std::vector<std::string> accepted;
+    no_sink nothing;
+    Station::intake_feed feed { book, *this };
+    std::shared_ptr<Records::topic_follower> operators = follow("op", nothing);
+    std::vector<std::shared_ptr<Records::topic_follower>> intakeParts { follow("intake", feed) };
+    Records::follower_group intake { intakeParts };
+    std::shared_ptr<Records::spread_appender> appender = std::make_shared<Records::spread_appender>(
+        store, timers, Records::spread_options { .topic = "intake", .writer = "w" });
+    plain_format format;
+    Station::counters figures;
+    Station::caller_desk desk { Station::caller_desk_parts { .timers = timers,
+        .book = book,
+        .jobs = *this,
+        .operators = *operators,
+        .intake = intake,
+        .appender = *appender,
+        .format = format,
+        .figures = figures } };
+};
+
+}
+
+TEST_CASE("A job that this desk has stored is told once, and read back as no news", "[station]")
+{
+    desk_story s;
+    CHECK(s.call("POST") == 200);
+    CHECK(s.accepted.size() == 1);
+    s.timers.advance(Common::millis(3000));
+    CHECK(s.call("POST") == 200);
+    CHECK(s.accepted.size() == 1);
+    CHECK(s.call("GET") == 200);
+}
+
+TEST_CASE("A job that the store refuses is refused at once, with a time to come back", "[station]")
+{
+    desk_story s;
+    s.store.state = fake_store::trouble::Busy;
+    CHECK(s.call("POST", Common::millis(200)) == 503);
+    CHECK(s.accepted.empty());
+}
+
+TEST_CASE("A job that isn't known is told to be unknown only after a look at the store", "[station]")
+{
+    desk_story s;
+    SECTION("the store confirms it") { CHECK(s.call("GET") == 410); }
+    SECTION("the store doesn't answer")
+    {
+        s.store.state = fake_store::trouble::Silent;
+        CHECK(s.call("GET", Common::millis(1300)) == 503);
+    }
+}
--- /dev/null
+++ b/Source/UnitTests/Core/Station/JobFeedsTest.cpp
@@ -0,0 +1,40 @@
+#include "Station/JobFeeds.h"
+
+#include <catch2/catch.hpp>
+
+namespace {
+
+struct listener : Station::job_listener {
+    void jobAccepted(const Common::job_id&) override { ++accepted; }
+    void jobCancelled(const Common::job_id&) override { ++cancelled; }
+
+    int accepted { 0 };
+    int cancelled { 0 };
+};
+
+}
+
+TEST_CASE("A second copy of a job, from another partition, is no news", "[station]")
+{
+    Jobs::job_book book;
+    listener told;
+    Station::intake_feed feed(book, told);
+    const auto record = Station::jobRecord({ .id = { "j" }, .queue = { "q" } });
+    feed.apply(record);
+    feed.apply(record);
+    CHECK(told.accepted == 1);
+    CHECK(book.size() == 1);
+}
+
+TEST_CASE("The newest claim and its release are known, whatever else is stored", "[station]")
+{
+    Jobs::job_book book;
+    Station::progress_feed feed(book);
+    feed.apply(Station::claimRecord({ .member = "a", .number = 3 }));
+    feed.apply(Station::signRecord(3));
+    CHECK(feed.claim().number == 3);
+    CHECK(feed.released() == 0);
+    feed.apply(Station::releaseRecord(3));
+    feed.apply(Station::releaseRecord(2));
+    CHECK(feed.released() == 3);
+}
