--- a/Source/Core/Dispatch/Dispatcher.cpp
+++ b/Source/Core/Dispatch/Dispatcher.cpp
@@ -259,6 +259,11 @@
     return request;
 }
 
+bool dispatcher::mayStart(const task_state& task, Common::instant now) const
+{
+    return task.phase == task_phase::Waiting && now >= task.notBefore && (!task.isDoubtful || m_isConfirmed);
+}
+
 void dispatcher::planStep(
     open_job& job, int occurrence, int step, const std::vector<worker_state*>& workers, Common::instant now)
 {
@@ -267,7 +272,7 @@
     auto& tasks = job.occurrences()[occurrence].steps[static_cast<std::size_t>(step)].tasks;
     for (std::size_t index = 0; index < tasks.size(); ++index) {
         auto& task = tasks[index];
-        if (task.phase != task_phase::Waiting || now < task.notBefore)
+        if (!mayStart(task, now))
             continue;
         if (!m_usage.allows(m_rules, job.record().team, request.step->request))
             return;
@@ -289,7 +294,7 @@
     auto& tasks = job.occurrences()[occurrence].steps[static_cast<std::size_t>(step)].tasks;
     run_number run;
     for (const auto& task : tasks) {
-        if (task.phase != task_phase::Waiting || now < task.notBefore)
+        if (!mayStart(task, now))
             return;
         run = std::max(run, task.lastRun);
     }
--- a/Source/Core/Dispatch/Dispatcher.h
+++ b/Source/Core/Dispatch/Dispatcher.h
@@ -157,6 +157,7 @@
 
     void expire(Common::instant now, const seat_standing&);
     void planStarts(const Common::pool_id&, Common::instant now, Common::wall_millis wall);
+    bool mayStart(const task_state&, Common::instant now) const;
     void planStep(open_job&, int occurrence, int step, const std::vector<worker_state*>&, Common::instant now);
     void planGang(open_job&, int occurrence, int step, const std::vector<worker_state*>&, Common::instant now);
     placement_request requestFor(open_job&, int occurrence, int step, std::map<Common::worker_id, int>& counts);
@@ -227,6 +228,8 @@
     /// Jobs that came later aren't started now.
     Common::instant m_knownUntil;
     bool m_isConfirmed { false };
+    /// No other holder has claimed the seat before this.
+    Common::instant m_confirmedUntil;
     /// The store may not answer, so begun jobs go on without notes.
     bool m_isUnsure { true };
     bool m_isFenced { false };
--- a/Source/Core/Dispatch/DispatcherEvents.cpp
+++ b/Source/Core/Dispatch/DispatcherEvents.cpp
@@ -65,8 +65,13 @@
     std::vector<Jobs::task_name> names;
     for (const auto& [name, run] : worker.runs)
         names.push_back(name);
-    for (const auto& name : names)
+    for (const auto& name : names) {
         releaseRun(worker, name, now);
+        auto* job = findJob(name.job);
+        auto* task = job ? job->find(name) : nullptr;
+        if (task && now >= m_confirmedUntil)
+            task->isDoubtful = true;
+    }
 }
 
 void dispatcher::distrust(worker_state& worker, Common::instant now, Common::millis time)
--- a/Source/Core/Dispatch/DispatcherLeases.cpp
+++ b/Source/Core/Dispatch/DispatcherLeases.cpp
@@ -22,6 +22,7 @@
     const auto& lease = m_options.lease;
     m_knownUntil = Common::instant::max();
     m_isConfirmed = standing.isConfirmed(now);
+    m_confirmedUntil = standing.confirmedUntil;
     m_isUnsure = !m_isConfirmed || standing.isInDoubt;
     m_grant = Common::millis(0);
     if (!standing.isHeld)
--- a/Source/Core/Dispatch/OpenJob.cpp
+++ b/Source/Core/Dispatch/OpenJob.cpp
@@ -100,6 +100,7 @@
     task->phase = task_phase::Placed;
     task->worker = worker;
     task->run = run;
+    task->isDoubtful = false;
     task->lastRun = std::max(task->lastRun, run);
     ++m_occurrences[name.occurrence].steps[static_cast<std::size_t>(name.step)].placed;
 }
--- a/Source/Core/Dispatch/OpenJob.h
+++ b/Source/Core/Dispatch/OpenJob.h
@@ -27,6 +27,8 @@
     /// Where it failed last; not to be tried there again while there are others.
     Common::worker_id failedOn;
     Common::instant notBefore;
+    /// Lost while another holder may have been there and noted its end; not to be started before the seat is sure.
+    bool isDoubtful { false };
 };
 
 struct step_state {
--- a/Source/Core/Records/BatchAppender.cpp
+++ b/Source/Core/Records/BatchAppender.cpp
@@ -32,6 +32,14 @@
     pump();
 }
 
+void batch_appender::stop()
+{
+    m_isStopped = true;
+    // Handlers may own us.
+    const auto waiting = std::exchange(m_waiting, {});
+    const auto batch = std::exchange(m_batch, {});
+}
+
 void batch_appender::pump()
 {
     if (m_isBusy || m_waiting.empty() || m_isStopped)
@@ -49,6 +57,8 @@
 
 void batch_appender::send()
 {
+    if (m_isStopped)
+        return;
     std::size_t taken = 0;
     std::size_t bytes = 0;
     m_request = { .where = m_options.where,
--- a/Source/Core/Records/BatchAppender.h
+++ b/Source/Core/Records/BatchAppender.h
@@ -32,7 +32,7 @@
     /// Stores the records together. The handler learns `Stored`, `Refused` (nothing stored), `Unknown` or `Fenced`.
     void add(std::vector<keyed_record>, done_handler);
     /// Nothing more is sent; what waits is dropped without a word.
-    void stop() { m_isStopped = true; }
+    void stop();
     /// Whether a batch has had no answer for so long.
     bool isStuck(Common::millis time) const { return m_isBusy && m_timers.now() - m_batchBegan >= time; }
 
--- a/Source/Core/Records/SpreadAppender.cpp
+++ b/Source/Core/Records/SpreadAppender.cpp
@@ -55,9 +55,11 @@
     ++records->open;
     const auto hasSettled = std::make_shared<bool>(false);
     m_parts[part].appender->add(
-        records->records, [self = shared_from_this(), records, part, hasSettled](append_outcome outcome) {
+        records->records, [weak = weak_from_this(), records, part, hasSettled](append_outcome outcome) {
             *hasSettled = true;
-            self->onSettled(records, part, outcome);
+            // The parts' appenders are ours, so holding on to ourselves there would never end.
+            if (const auto self = weak.lock())
+                self->onSettled(records, part, outcome);
         });
     m_timers.after(m_options.failoverAfter, [self = shared_from_this(), records, part, hasSettled] {
         if (*hasSettled || records->isOver)
--- a/Source/Core/Station/EntryStation.cpp
+++ b/Source/Core/Station/EntryStation.cpp
@@ -3,17 +3,12 @@
 #include "Common/Hashing.h"
 #include "Common/Logging.h"
 
-#include <utility>
-
 namespace Station {
 
 namespace {
 
-    /// Shortest time between reads of the jobs' topics, for the holder and for the others.
-    constexpr Common::millis holderGap { 20 };
+    /// Shortest time between reads of the progress of jobs.
     constexpr Common::millis progressGap { 200 };
-    /// A job that isn't known is looked for in the store, so a view of the intake may lag.
-    constexpr Common::millis intakeGap { 900 };
     /// A slow store takes appends to one partition one after the other, so submitters are spread over some.
     constexpr int intakeParts = 4;
     constexpr Common::millis workerGap { 400 };
@@ -24,15 +19,11 @@
     constexpr Common::millis oldestReadyView { 4000 };
     /// A submission is given up after this time, before its caller gives up.
     constexpr Common::millis storePatience { 2300 };
-    /// How long a new holder waits for the store before it gives its seat up.
-    constexpr Common::millis tenurePatience { 2000 };
-    constexpr Common::millis releaseTimeout { 300 };
     /// The balancer looks once a second and takes an instance out after two misses.
     constexpr Common::millis balancerGrace { 2500 };
     constexpr Common::millis retirePoll { 50 };
     /// Kept back from the grace of a stop, for the end itself.
     constexpr Common::millis stopReserve { 700 };
-    constexpr auto holderWriter = "holder";
 
 }
 
@@ -76,7 +67,7 @@
     m_workerList = follow(m_parts.topics.workers, workerGap, workerFeed);
     std::vector<std::shared_ptr<Records::topic_follower>> intakes;
     for (int part = 0; part < intakeParts; ++part)
-        intakes.push_back(follow({ m_parts.topics.intake.topic, part }, intakeGap, m_intakeFeed));
+        intakes.push_back(follow({ m_parts.topics.intake.topic, part }, holder_office::intakeGap, m_intakeFeed));
     m_intake = std::make_unique<Records::follower_group>(std::move(intakes));
     m_progress = follow(m_parts.topics.progress, progressGap, m_progressFeed);
     const auto ownPart = static_cast<int>(Common::rendezvousRank(m_parts.topics.intake.topic, m_member) % intakeParts);
@@ -94,11 +85,21 @@
         .appender = *m_appender,
         .format = m_parts.callerFormat,
         .figures = m_figures });
-    m_seat = std::make_shared<holder_seat>(m_parts.store, *m_timers,
-        seat_options { .member = m_member,
+    m_office = std::make_unique<holder_office>(office_parts { .store = m_parts.store,
+                                                   .timers = *m_timers,
+                                                   .workers = m_parts.workers,
+                                                   .instances = m_parts.instances,
+                                                   .operatorFormat = m_parts.operatorFormat,
+                                                   .book = m_book,
+                                                   .progressFeed = m_progressFeed,
+                                                   .progress = *m_progress,
+                                                   .workerList = *m_workerList,
+                                                   .intake = *m_intake,
+                                                   .figures = m_figures },
+        office_options { .member = m_member,
             .progressTopic = m_parts.topics.progress,
-            .writer = holderWriter },
-        *m_progress, m_progressFeed);
+            .statusTopic = m_parts.topics.status,
+            .stopTime = m_settings.stopTime });
     m_callers = std::make_unique<EventLoop::http_listener>(m_parts.loop, m_settings.callers,
         EventLoop::listener_limits {}, [this](const EventLoop::http_request& request, const EventLoop::responder& respond) {
             m_desk->handle(request, respond);
@@ -109,7 +110,7 @@
         });
     if (!m_callers->start() || !m_readiness->start() || !startMetrics())
         return false;
-    m_seat->start([this](const won_seat& won) { beginTenure(won); });
+    m_office->start();
     return true;
 }
 
@@ -145,71 +146,6 @@
     respond({ .status = isReady() ? 200 : 503 });
 }
 
-void entry_station::beginTenure(const won_seat& won)
-{
-    m_intake->setGap(holderGap);
-    m_run = std::make_shared<holder_run>(holder_parts { .store = m_parts.store,
-                                             .timers = *m_timers,
-                                             .workers = m_parts.workers,
-                                             .instances = m_parts.instances,
-                                             .operatorFormat = m_parts.operatorFormat,
-                                             .book = m_book,
-                                             .seat = *m_seat,
-                                             .progress = m_progressFeed,
-                                             .figures = m_figures },
-        holder_tenure { .token = { won.token },
-            .number = won.number,
-            .progressTopic = m_parts.topics.progress,
-            .statusTopic = m_parts.topics.status,
-            .writer = holderWriter,
-            .stopTime = m_settings.stopTime },
-        [this] { endTenure(); });
-    m_run->open();
-    // Workers and jobs that an earlier holder dealt with must be known before anything is started.
-    m_workerList->refresh(tenurePatience, [this, run = m_run](bool isRead) { readJobsForTenure(run, isRead); });
-}
-
-void entry_station::readJobsForTenure(const std::shared_ptr<holder_run>& run, bool areWorkersRead)
-{
-    m_intake->refresh(tenurePatience, [this, run, areWorkersRead](bool isRead) {
-        if (run != m_run)
-            return;
-        const bool isConfirmed = m_seat->standing().isConfirmed(m_timers->now());
-        if (areWorkersRead && isRead && isConfirmed && m_rules)
-            fillTenure(run);
-        else
-            endTenure();
-    });
-}
-
-void entry_station::fillTenure(const std::shared_ptr<holder_run>& run)
-{
-    run->setRules(*m_rules);
-    run->setEvacuated(m_evacuated);
-    run->setWaves(m_waves);
-    for (const auto& [id, worker] : m_workers)
-        run->workerListed(worker.entry, worker.seenAt);
-    run->start(m_progressFeed.waves());
-}
-
-void entry_station::endTenure()
-{
-    const auto run = std::exchange(m_run, nullptr);
-    const bool isFullyNoted = run && run->isFullyNoted();
-    if (run)
-        run->stop();
-    m_intake->setGap(intakeGap);
-    m_seat->vacate();
-    if (!isFullyNoted)
-        return;
-    Common::writeEvent(Common::log_level::Info, Common::log_category::Roster, "seat_released",
-        { { "number", std::to_string(run->number()) } });
-    // The next holder needn't wait for workers that don't answer it.
-    const Records::append_request release { .where = m_parts.topics.progress,
-        .records = { releaseRecord(run->number()) } };
-    m_parts.store.append(release, releaseTimeout, [](const auto&) {});
-}
-
 void entry_station::retire()
 {
     if (m_isRetiring)
@@ -217,8 +153,7 @@
     m_isRetiring = true;
     m_retiringSince = m_timers->now();
     Common::writeEvent(Common::log_level::Info, Common::log_category::Daemon, "retiring", {});
-    m_seat->leave();
-    endTenure();
+    m_office->retire();
     finishRetiring();
 }
 
@@ -240,12 +175,10 @@
 
 void entry_station::rulesChanged(const Rules::fleet_rules& rules)
 {
-    m_rules = rules;
     m_desk->setRules(rules);
     Common::writeEvent(Common::log_level::Info, Common::log_category::Daemon, "rules_in_force",
         { { "version", std::to_string(rules.version) } });
-    if (m_run)
-        m_run->setRules(rules);
+    m_office->setRules(rules);
 }
 
 void entry_station::evacuationsChanged(const std::set<Common::data_centre_id>& zones)
@@ -256,42 +189,32 @@
     for (const auto& zone : zones)
         Common::writeEvent(
             Common::log_level::Info, Common::log_category::Daemon, "evacuated", { { "data_centre", zone.value } });
-    if (m_run)
-        m_run->setEvacuated(zones);
+    m_office->setEvacuated(zones);
 }
 
 void entry_station::wavesChanged(const std::map<std::int64_t, Rules::upkeep_wave>& waves)
 {
-    m_waves = waves;
-    if (m_run)
-        m_run->setWaves(waves);
+    m_office->setWaves(waves);
 }
 
 void entry_station::workerListed(const Dispatch::worker_entry& worker)
 {
-    auto& known = m_workers.try_emplace(worker.id, registered_worker { .seenAt = m_timers->now() }).first->second;
-    known.entry = worker;
-    if (m_run)
-        m_run->workerListed(worker, known.seenAt);
+    m_office->workerListed(worker);
 }
 
 void entry_station::workerUnlisted(const Common::worker_id& id)
 {
-    m_workers.erase(id);
-    if (m_run)
-        m_run->workerUnlisted(id);
+    m_office->workerUnlisted(id);
 }
 
 void entry_station::jobAccepted(const Common::job_id& id)
 {
-    if (m_run)
-        m_run->jobAccepted(id);
+    m_office->jobAccepted(id);
 }
 
 void entry_station::jobCancelled(const Common::job_id& id)
 {
-    if (m_run)
-        m_run->jobCancelled(id);
+    m_office->jobCancelled(id);
 }
 
 }
--- a/Source/Core/Station/EntryStation.h
+++ b/Source/Core/Station/EntryStation.h
@@ -5,8 +5,7 @@
 #include "Records/FollowerGroup.h"
 #include "Station/CallerDesk.h"
 #include "Station/Feeds.h"
-#include "Station/HolderRun.h"
-#include "Station/HolderSeat.h"
+#include "Station/HolderOffice.h"
 #include "Station/StationSettings.h"
 
 namespace Station {
@@ -32,7 +31,7 @@
     std::string readinessPath;
 };
 
-/// One entry instance: serves callers, follows the store, and takes the holder's seat when it is dealt to it.
+/// One entry instance: serves callers, follows the store, and takes part in holding the fleet.
 class entry_station : public operator_listener, public worker_listener, public job_listener {
 public:
     entry_station(const station_settings&, const station_parts&);
@@ -55,19 +54,10 @@
 
 private:
     struct loop_timers;
-    struct registered_worker {
-        Dispatch::worker_entry entry;
-        Common::instant seenAt;
-    };
 
     bool isReady() const;
     void answerReadiness(const EventLoop::http_request&, const EventLoop::responder&) const;
     bool startMetrics();
-    void beginTenure(const won_seat&);
-    void readJobsForTenure(const std::shared_ptr<holder_run>&, bool areWorkersRead);
-    void fillTenure(const std::shared_ptr<holder_run>&);
-    /// Ends the tenure, if there is one, and tells the next holder what it may rely on.
-    void endTenure();
     void finishRetiring();
     std::shared_ptr<Records::topic_follower> follow(
         const Records::topic_part&, Common::millis gap, Records::record_sink&);
@@ -85,16 +75,12 @@
     std::unique_ptr<Records::follower_group> m_intake;
     std::shared_ptr<Records::topic_follower> m_progress;
     std::shared_ptr<Records::spread_appender> m_appender;
-    std::shared_ptr<holder_seat> m_seat;
-    std::shared_ptr<holder_run> m_run;
+    std::unique_ptr<holder_office> m_office;
     std::unique_ptr<caller_desk> m_desk;
     std::unique_ptr<EventLoop::http_listener> m_callers;
     std::unique_ptr<EventLoop::http_listener> m_readiness;
     std::unique_ptr<EventLoop::http_listener> m_metrics;
-    std::optional<Rules::fleet_rules> m_rules;
     std::set<Common::data_centre_id> m_evacuated;
-    std::map<std::int64_t, Rules::upkeep_wave> m_waves;
-    std::map<Common::worker_id, registered_worker> m_workers;
     bool m_isRetiring { false };
     Common::instant m_retiringSince;
 };
--- a/Source/UnitTests/Core/Dispatch/DispatcherFixture.h
+++ b/Source/UnitTests/Core/Dispatch/DispatcherFixture.h
@@ -101,8 +101,10 @@
     void join(const Dispatch::worker_entry& entry)
     {
         dispatcher.workerListed(entry, now, now);
-        for (const auto& order : plan().holds)
-            look(order);
+        for (const auto& order : plan().holds) {
+            if (order.worker.id == entry.id)
+                look(order);
+        }
     }
 
     /// The worker's clock as the dispatcher reckons it.
--- a/Source/UnitTests/Core/Dispatch/DispatcherTest.cpp
+++ b/Source/UnitTests/Core/Dispatch/DispatcherTest.cpp
@@ -130,10 +130,10 @@
         taken.outcome = order_outcome::Done;
         f.dispatcher.onStop(next.stops[0], taken, f.now);
         // A look that was sent before the worker carries the stop out proves nothing.
-        f.look(*f.nextLook());
+        f.look(f.nextLook().value());
         CHECK(f.plan().starts.empty());
         f.now += std::chrono::milliseconds(250);
-        f.look(*f.nextLook());
+        f.look(f.nextLook().value());
         const auto again = f.plan().starts;
         REQUIRE(again.size() == 1);
         CHECK(again[0].run > start.run);
@@ -210,12 +210,12 @@
     f.add(f.job("j", { f.step(1) }));
     const auto first = f.plan().starts.at(0);
     f.accept(first);
-    f.look(*f.nextLook(first.worker.id.value), {}, { f.ended(first, end_kind::Failed) });
+    f.look(f.nextLook(first.worker.id.value).value(), {}, { f.ended(first, end_kind::Failed) });
     const auto second = f.plan().starts.at(0);
     CHECK(second.worker.id != first.worker.id);
     f.accept(second);
     f.lastEnd = 0;
-    f.look(*f.nextLook(second.worker.id.value), {}, { f.ended(second, end_kind::Failed) });
+    f.look(f.nextLook(second.worker.id.value).value(), {}, { f.ended(second, end_kind::Failed) });
     const auto batch = f.dispatcher.takeCommit();
     REQUIRE(batch.progress.size() == 1);
     CHECK(batch.progress[0].state == job_state::Failed);
@@ -228,8 +228,8 @@
     f.dispatcher.workerListed(f.worker("w2"), f.now, f.now);
     f.add(f.job("j", { f.step(1) }));
     const Jobs::task_name task { { "j" }, 0, 0, 0 };
-    f.look(*f.nextLook("w2"), {}, { { .number = { 1 }, .task = task, .run = { 2 }, .kind = end_kind::Failed } });
-    f.look(*f.nextLook("w1"), {}, { { .number = { 1 }, .task = task, .run = { 1 }, .kind = end_kind::Failed } });
+    f.look(f.nextLook("w2").value(), {}, { { .number = { 1 }, .task = task, .run = { 2 }, .kind = end_kind::Failed } });
+    f.look(f.nextLook("w1").value(), {}, { { .number = { 1 }, .task = task, .run = { 1 }, .kind = end_kind::Failed } });
     const auto batch = f.dispatcher.takeCommit();
     REQUIRE(batch.progress.size() == 1);
     CHECK(batch.progress[0].state == job_state::Failed);
@@ -243,7 +243,7 @@
     f.add(f.job("j", { f.step(1) }));
     const auto start = f.plan().starts.at(0);
     f.accept(start);
-    f.look(*f.nextLook(), { f.listed(start) });
+    f.look(f.nextLook().value(), { f.listed(start) });
     f.isConfirmed = false;
     f.standing.isInDoubt = true;
     f.openLooks.clear();
@@ -273,7 +273,7 @@
         f.join(f.worker("w2"));
         f.isConfirmed = false;
         f.now = f.standing.confirmedUntil + std::chrono::seconds(5);
-        f.dispatcher.onHold(*f.nextLook(start.worker.id.value), { .base = f.reply(order_outcome::NoAnswer) }, f.now, f.now);
+        f.dispatcher.onHold(f.nextLook(start.worker.id.value).value(), { .base = f.reply(order_outcome::NoAnswer) }, f.now, f.now);
         f.now += std::chrono::seconds(4);
         CHECK(f.plan().starts.empty());
         CHECK(f.dispatcher.workers().at(start.worker.id).runs.size() == 1);
@@ -336,7 +336,7 @@
     f.accept(start);
     const auto id = start.worker.id;
     f.now += std::chrono::milliseconds(2500);
-    f.dispatcher.onHold(*f.nextLook(id.value), { .base = f.reply(order_outcome::NoAnswer) }, f.now, f.now);
+    f.dispatcher.onHold(f.nextLook(id.value).value(), { .base = f.reply(order_outcome::NoAnswer) }, f.now, f.now);
     CHECK(f.plan().starts.empty());
     f.dispatcher.setRoster({ { { id.value == "w1" ? "w2" : "w1" }, { "pool" } } }, f.now, f.now, f.wall());
     CHECK(f.plan().starts.size() == 1);
@@ -348,8 +348,8 @@
     f.dispatcher.workerListed(f.worker("w1"), f.now, f.now);
     f.dispatcher.workerListed(f.worker("moved"), f.now - std::chrono::seconds(3), f.now);
     f.add(f.job("j", { f.step(1) }), { .state = job_state::Running });
-    f.look(*f.nextLook("w1"));
-    f.dispatcher.onHold(*f.nextLook("moved"), { .base = f.reply(order_outcome::NotSent) }, f.now, f.now);
+    f.look(f.nextLook("w1").value());
+    f.dispatcher.onHold(f.nextLook("moved").value(), { .base = f.reply(order_outcome::NotSent) }, f.now, f.now);
     CHECK(f.plan().starts.empty());
     f.dispatcher.setRoster({ { { "w1" }, { "pool" } } }, f.now, f.now, f.wall());
     CHECK(f.plan().starts.size() == 1);
--- a/Source/UnitTests/Core/Dispatch/PlacementNotesTest.cpp
+++ b/Source/UnitTests/Core/Dispatch/PlacementNotesTest.cpp
@@ -16,12 +16,12 @@
         dispatcher.workerListed(worker("w1"), now, now);
         dispatcher.workerListed(worker("w2"), now, now);
         add(job("j", { step(2) }), noted);
-        look(*nextLook("w2"));
+        look(nextLook("w2").value());
     }
 
     void keepSilent(const std::string& id)
     {
-        dispatcher.onHold(*nextLook(id), { .base = reply(order_outcome::NoAnswer) }, now, now);
+        dispatcher.onHold(nextLook(id).value(), { .base = reply(order_outcome::NoAnswer) }, now, now);
         openLooks.erase({ id });
     }
 
@@ -103,7 +103,7 @@
     f.isStored = false;
     f.isConfirmed = false;
     f.standing.isInDoubt = true;
-    f.look(*f.nextLook(), {}, { f.ended(first, end_kind::Done) });
+    f.look(f.nextLook().value(), {}, { f.ended(first, end_kind::Done) });
     const auto starts = f.plan().starts;
     REQUIRE(starts.size() == 1);
     CHECK(starts[0].task.job.value == "begun");
@@ -117,6 +117,29 @@
     CHECK(f.dispatcher.isFullyNoted(f.now));
 }
 
+TEST_CASE("What is lost with a worker while another holder may be there isn't started again before that is settled",
+    "[dispatch]")
+{
+    dispatcher_fixture f;
+    f.join(f.worker("w1"));
+    f.add(f.job("j", { f.step(1) }));
+    f.accept(f.plan().starts.at(0));
+    f.isConfirmed = false;
+    f.standing.isInDoubt = true;
+    f.now = f.standing.confirmedUntil + std::chrono::seconds(1);
+    // The next holder may have noted the task's end before the worker began its new life.
+    f.bornAt = { 2000 };
+    auto reborn = f.worker("w1");
+    reborn.bornAt = f.bornAt;
+    f.dispatcher.workerListed(reborn, f.now, f.now);
+    f.openLooks.clear();
+    f.look(f.nextLook().value());
+    CHECK(f.plan().starts.empty());
+    f.isConfirmed = true;
+    f.standing.isInDoubt = false;
+    CHECK(f.plan().starts.size() == 1);
+}
+
 TEST_CASE("A new holder starts at once what no holder has begun", "[dispatch]")
 {
     takeover_story f;
@@ -143,21 +166,21 @@
     }
     SECTION("what runs there is taken over")
     {
-        f.look(*f.nextLook("w1"), { { .task = f.first, .run = { 7 }, .percent = { 50 } } });
+        f.look(f.nextLook("w1").value(), { { .task = f.first, .run = { 7 }, .percent = { 50 } } });
         const auto starts = f.plan().starts;
         REQUIRE(starts.size() == 1);
         CHECK(starts[0].task.index == 1);
     }
     SECTION("what has ended there is done")
     {
-        f.look(*f.nextLook("w1"), {}, { { .number = { 1 }, .task = f.first, .run = { 7 }, .kind = end_kind::Done } });
+        f.look(f.nextLook("w1").value(), {}, { { .number = { 1 }, .task = f.first, .run = { 7 }, .kind = end_kind::Done } });
         const auto starts = f.plan().starts;
         REQUIRE(starts.size() == 1);
         CHECK(starts[0].task.index == 1);
     }
     SECTION("what isn't there is started")
     {
-        f.look(*f.nextLook("w1"));
+        f.look(f.nextLook("w1").value());
         CHECK(f.plan().starts.size() == 2);
     }
     SECTION("a newer run elsewhere is the one that counts")
@@ -166,7 +189,7 @@
         g.dispatcher.workerListed(g.worker("w1"), g.now, g.now);
         g.dispatcher.workerListed(g.worker("w2"), g.now, g.now);
         g.add(g.job("j", { g.step(1) }), f.noted);
-        g.look(*g.nextLook("w2"), { { .task = f.first, .run = { 8 }, .percent = { 50 } } });
+        g.look(g.nextLook("w2").value(), { { .task = f.first, .run = { 8 }, .percent = { 50 } } });
         CHECK(g.plan().stops.empty());
         CHECK(g.dispatcher.workers().at({ "w2" }).runs.contains(f.first));
         CHECK_FALSE(g.dispatcher.workers().at({ "w1" }).runs.contains(f.first));
@@ -181,7 +204,7 @@
     f.join(f.worker("w2"));
     f.dispatcher.workerListed(f.worker("w1"), f.now, f.now);
     CHECK(f.plan().starts.empty());
-    f.look(*f.nextLook("w1"));
+    f.look(f.nextLook("w1").value());
     CHECK(f.plan().starts.size() == 1);
 }
 
--- a/Source/UnitTests/Core/Records/BatchAppenderTest.cpp
+++ b/Source/UnitTests/Core/Records/BatchAppenderTest.cpp
@@ -74,6 +74,19 @@
     }
 }
 
+TEST_CASE("A stopped appender lets go of what waits for it", "[records]")
+{
+    appender_story s(std::nullopt);
+    s.store.state = fake_store::trouble::Silent;
+    const auto held = std::make_shared<int>(0);
+    s.appender->add({ { .key = "a", .value = "v" } }, [held](append_outcome) {});
+    s.appender->add({ { .key = "b", .value = "v" } }, [held](append_outcome) {});
+    CHECK(held.use_count() == 3);
+    s.appender->stop();
+    CHECK(held.use_count() == 1);
+    s.timers.advance(Common::millis(5000));
+}
+
 TEST_CASE("A writer that a later one has fenced off learns it", "[records]")
 {
     appender_story s(std::nullopt);
