--- a/Source/UnitTests/Core/Explorer/HolderExplorerTest.cpp
+++ b/Source/UnitTests/Core/Explorer/HolderExplorerTest.cpp
@@ -5,7 +5,7 @@
 
 namespace {
 
-/// Stories in CI; LOFT_EXPLORER_STORIES plays another number, LOFT_EXPLORER_SEED begins elsewhere.
+/// Stories in CI; LOFT_EXPLORER_SEEDS plays another number, LOFT_EXPLORER_FIRST begins elsewhere.
 constexpr std::uint64_t usualStories = 80;
 
 std::uint64_t numberFrom(const char* variable, std::uint64_t usual)
@@ -18,14 +18,14 @@
 
 TEST_CASE("Whatever fails, no task runs twice and each job ends", "[explorer]")
 {
-    const auto first = numberFrom("LOFT_EXPLORER_SEED", 1);
-    const auto stories = numberFrom("LOFT_EXPLORER_STORIES", usualStories);
+    const auto first = numberFrom("LOFT_EXPLORER_FIRST", 1);
+    const auto stories = numberFrom("LOFT_EXPLORER_SEEDS", usualStories);
     std::size_t steps = 0;
     int takeovers = 0;
     for (auto seed = first; seed < first + stories; ++seed) {
         holder_world world({ .seed = seed });
         const auto broken = world.play();
-        INFO("LOFT_EXPLORER_SEED=" << seed << " LOFT_EXPLORER_STORIES=1");
+        INFO("LOFT_EXPLORER_FIRST=" << seed << " LOFT_EXPLORER_SEEDS=1");
         CHECK(broken.empty());
         if (!broken.empty())
             UNSCOPED_INFO(broken);
