A store slower than our time-outs is outlasted; a holder that reads another's claim stops

Change: an appender whose call gets no answer gives the next twice the time, up to four times; the intake waits twice what answers took lately; placements are planned for 1.5 s after the seat was last sure, and sent once stored.

Change: it stops at the next one's claim.

Ruled out: the seat (one holder all the while).

--- a/Source/Core/Dispatch/Dispatcher.cpp
+++ b/Source/Core/Dispatch/Dispatcher.cpp
@@ -7,6 +7,8 @@
 
 namespace {
 
+    /// Placements are still planned, and sent once noted, for so long after the seat was last sure.
+    constexpr Common::millis notesPatience { 1500 };
     /// Tasks take at least this share of their estimates.
     constexpr double leastShareOfEstimate = 0.2;
     /// A worker stands in the list of instances this long after it registered at the latest.
@@ -182,8 +184,9 @@
         const auto* queue = queueOf(*job);
         if (!queue || queue->pool != pool || Jobs::isFinal(job->state))
             continue;
-        // Without the store only jobs that the next holder takes for begun go on.
-        const bool isKnown = m_isConfirmed || (job->isNoted && job->addedAt <= m_knownUntil);
+        // Without the store only jobs that the next holder takes for begun go on; a slow one still takes notes.
+        const bool isNotable = now < m_confirmedUntil + notesPatience;
+        const bool isKnown = isNotable || (job->isNoted && job->addedAt <= m_knownUntil);
         if (isKnown && (isOpen || m_untouched.contains(id)))
             jobs.push_back(job.get());
     }
--- a/Source/Core/Records/BatchAppender.cpp
+++ b/Source/Core/Records/BatchAppender.cpp
@@ -1,5 +1,6 @@
 #include "Records/BatchAppender.h"
 
+#include <algorithm>
 #include <utility>
 
 namespace Records {
@@ -8,6 +9,8 @@
 
     /// Pause before a batch is sent again.
     constexpr Common::millis retryPause { 60 };
+    /// The longest time for an answer, in usual ones.
+    constexpr int mostPatience = 4;
 
     std::size_t bytesOf(const std::vector<keyed_record>& records)
     {
@@ -23,6 +26,7 @@
     : m_store(store)
     , m_timers(timers)
     , m_options(options)
+    , m_patience(options.callTimeout)
 {
 }
 
@@ -77,11 +81,24 @@
     m_waiting.erase(m_waiting.begin(), end);
     m_batchBegan = m_timers.now();
     m_mayBeStored = false;
-    m_lastSend = m_batchBegan;
-    m_store.append(m_request, m_options.callTimeout,
+    sendAgain();
+}
+
+void batch_appender::sendAgain()
+{
+    m_lastSend = m_timers.now();
+    m_store.append(m_request, m_patience,
         [self = shared_from_this()](const append_result& result) { self->onResult(result); });
 }
 
+void batch_appender::learnPatience(const append_result& result)
+{
+    if (result.outcome == append_outcome::Unknown)
+        m_patience = std::min(m_patience * 2, m_options.callTimeout * mostPatience);
+    else if (m_timers.now() - m_lastSend < m_options.callTimeout / 2)
+        m_patience = m_options.callTimeout;
+}
+
 bool batch_appender::isOverdue() const
 {
     if (!m_options.giveUpAfter)
@@ -94,6 +111,7 @@
 {
     if (m_isStopped)
         return;
+    learnPatience(result);
     switch (result.outcome) {
     case append_outcome::Stored:
         ++m_options.sequence;
@@ -126,10 +144,8 @@
         return;
     }
     m_timers.after(retryPause, [self = shared_from_this()] {
-        if (self->m_isStopped)
-            return;
-        self->m_store.append(self->m_request, self->m_options.callTimeout,
-            [self](const append_result& again) { self->onResult(again); });
+        if (!self->m_isStopped)
+            self->sendAgain();
     });
 }
 
--- a/Source/Core/Records/BatchAppender.h
+++ b/Source/Core/Records/BatchAppender.h
@@ -44,6 +44,9 @@
 
     void pump();
     void send();
+    void sendAgain();
+    /// A slow store gets more time for each answer, up to `mostPatience` times as much.
+    void learnPatience(const append_result&);
     void onResult(const append_result&);
     void finish(append_outcome);
     bool isOverdue() const;
@@ -54,6 +57,8 @@
     std::vector<entry> m_waiting;
     std::vector<entry> m_batch;
     append_request m_request;
+    /// How long the next call may take.
+    Common::millis m_patience;
     Common::instant m_batchBegan;
     Common::instant m_lastSend;
     bool m_isBusy { false };
--- a/Source/Core/Records/SpreadAppender.cpp
+++ b/Source/Core/Records/SpreadAppender.cpp
@@ -2,6 +2,7 @@
 
 #include "Common/Logging.h"
 
+#include <algorithm>
 #include <utility>
 
 namespace Records {
@@ -9,6 +10,7 @@
 spread_appender::spread_appender(record_store& store, timer_service& timers, const spread_options& options)
     : m_timers(timers)
     , m_options(options)
+    , m_failoverAfter(options.failoverAfter)
 {
     for (int part = 0; part < options.parts; ++part)
         m_parts.push_back({ .appender = std::make_shared<batch_appender>(store, timers,
@@ -34,7 +36,7 @@
         const auto part = (static_cast<std::size_t>(m_options.firstPart) + step) % m_parts.size();
         const auto& state = m_parts[part];
         const bool isResting
-            = m_timers.now() < state.restsUntil || state.appender->isStuck(m_options.failoverAfter);
+            = m_timers.now() < state.restsUntil || state.appender->isStuck(m_failoverAfter);
         if (!records.tried[part] && !isResting)
             return part;
     }
@@ -55,13 +57,13 @@
     ++records->open;
     const auto hasSettled = std::make_shared<bool>(false);
     m_parts[part].appender->add(
-        records->records, [weak = weak_from_this(), records, part, hasSettled](append_outcome outcome) {
+        records->records, [weak = weak_from_this(), records, part, hasSettled, sentAt = m_timers.now()](append_outcome outcome) {
             *hasSettled = true;
             // The parts' appenders are ours, so holding on to ourselves there would never end.
             if (const auto self = weak.lock())
-                self->onSettled(records, part, outcome);
+                self->onSettled(records, part, outcome, sentAt);
         });
-    m_timers.after(m_options.failoverAfter, [self = shared_from_this(), records, part, hasSettled] {
+    m_timers.after(m_failoverAfter, [self = shared_from_this(), records, part, hasSettled] {
         if (*hasSettled || records->isOver)
             return;
         self->rest(part);
@@ -69,10 +71,17 @@
     });
 }
 
-void spread_appender::onSettled(const std::shared_ptr<attempt>& records, std::size_t part, append_outcome outcome)
+void spread_appender::learnPace(Common::millis took)
+{
+    m_failoverAfter = std::clamp(took * 2, m_options.failoverAfter, m_options.settleAfter);
+}
+
+void spread_appender::onSettled(
+    const std::shared_ptr<attempt>& records, std::size_t part, append_outcome outcome, Common::instant sentAt)
 {
     --records->open;
     if (outcome == append_outcome::Stored) {
+        learnPace(Common::elapsed(sentAt, m_timers.now()));
         finish(*records, outcome);
         return;
     }
--- a/Source/Core/Records/SpreadAppender.h
+++ b/Source/Core/Records/SpreadAppender.h
@@ -50,14 +50,17 @@
 
     void tryNext(const std::shared_ptr<attempt>&);
     void send(const std::shared_ptr<attempt>&, std::size_t part);
-    void onSettled(const std::shared_ptr<attempt>&, std::size_t part, append_outcome);
+    void onSettled(const std::shared_ptr<attempt>&, std::size_t part, append_outcome, Common::instant sentAt);
     void rest(std::size_t part);
+    void learnPace(Common::millis took);
     std::optional<std::size_t> nextPart(const attempt&) const;
     static void finish(attempt&, append_outcome);
 
     timer_service& m_timers;
     spread_options m_options;
     std::vector<part_state> m_parts;
+    /// `failoverAfter`, or twice what answers took lately.
+    Common::millis m_failoverAfter;
 };
 
 }
--- a/Source/Core/Station/HolderRun.cpp
+++ b/Source/Core/Station/HolderRun.cpp
@@ -283,6 +283,11 @@
 {
     if (m_isOver || !m_isStarted)
         return;
+    // The next holder's records tell of jobs that we would take for begun by us.
+    if (m_parts.progress.claim().number > m_tenure.number) {
+        lose("claimed_by_another");
+        return;
+    }
     auto standing = m_parts.seat.standing();
     standing.isInDoubt = standing.isInDoubt || (m_commitsOpen > 0 && m_parts.timers.now() - m_commitBegan > slowCommit);
     if (m_parts.progress.released() + 1 >= m_tenure.number)
--- a/Source/UnitTests/Core/Dispatch/DispatcherTest.cpp
+++ b/Source/UnitTests/Core/Dispatch/DispatcherTest.cpp
@@ -278,8 +278,9 @@
         CHECK(f.plan().starts.empty());
         CHECK(f.dispatcher.workers().at(start.worker.id).runs.size() == 1);
     }
-    SECTION("jobs that came later are left to the next holder")
+    SECTION("jobs that came later are left to the next holder, unless the log takes their placements")
     {
+        f.isStored = false;
         f.now = f.standing.confirmedUntil + std::chrono::seconds(1);
         f.add(f.job("k", { f.step(1) }));
         CHECK(f.plan().starts.empty());
--- a/Source/UnitTests/Core/Explorer/HolderWorld.cpp
+++ b/Source/UnitTests/Core/Explorer/HolderWorld.cpp
@@ -153,32 +153,32 @@
         });
     }
 
-    void start(const Dispatch::start_order& order_, Dispatch::fencing_token token, Common::millis timeout,
+    void start(const Dispatch::start_order& request, Dispatch::fencing_token token, Common::millis timeout,
         reply_handler handler) override
     {
-        const auto id = order_.worker.id.value;
+        const auto id = request.worker.id.value;
         order(
-            id, timeout, [this, id, order_, token] { return m_world.worker(id).start(order_, token); },
+            id, timeout, [this, id, request, token] { return m_world.worker(id).start(request, token); },
             std::move(handler), Dispatch::order_reply {});
     }
 
-    void stop(const Dispatch::stop_order& order_, Dispatch::fencing_token token, Common::millis timeout,
+    void stop(const Dispatch::stop_order& request, Dispatch::fencing_token token, Common::millis timeout,
         reply_handler handler) override
     {
-        const auto id = order_.worker.id.value;
+        const auto id = request.worker.id.value;
         order(
-            id, timeout, [this, id, order_, token] { return m_world.worker(id).stop(order_, token); },
+            id, timeout, [this, id, request, token] { return m_world.worker(id).stop(request, token); },
             std::move(handler), Dispatch::order_reply {});
     }
 
     void pace(const Dispatch::pace_order&, Dispatch::fencing_token, Common::millis, reply_handler) override { }
 
-    void hold(const Dispatch::hold_order& order_, Dispatch::fencing_token token, Common::millis timeout,
+    void hold(const Dispatch::hold_order& request, Dispatch::fencing_token token, Common::millis timeout,
         std::function<void(Dispatch::hold_reply)> handler) override
     {
-        const auto id = order_.worker.id.value;
+        const auto id = request.worker.id.value;
         order(
-            id, timeout, [this, id, order_, token] { return m_world.worker(id).hold(order_, token); },
+            id, timeout, [this, id, request, token] { return m_world.worker(id).hold(request, token); },
             std::move(handler), Dispatch::hold_reply {});
     }
 
--- a/Source/UnitTests/Core/Records/BatchAppenderTest.cpp
+++ b/Source/UnitTests/Core/Records/BatchAppenderTest.cpp
@@ -74,6 +74,16 @@
     }
 }
 
+TEST_CASE("A store that is slower than a call may take gets its batch stored all the same", "[records]")
+{
+    appender_story s(std::nullopt);
+    s.store.delay = Common::millis(1500);
+    s.add("a");
+    s.timers.advance(Common::millis(6000));
+    CHECK(s.outcomes == std::vector { append_outcome::Stored });
+    CHECK(s.store.parts[s.topic].records.size() == 1);
+}
+
 TEST_CASE("A stopped appender lets go of what waits for it", "[records]")
 {
     appender_story s(std::nullopt);
--- a/Source/UnitTests/Core/Records/FakeStore.h
+++ b/Source/UnitTests/Core/Records/FakeStore.h
@@ -135,11 +135,13 @@
             timers.after(delay, [handler, refused] { handler(refused); });
             return;
         }
-        timers.after(delay, [this, current, timeout, handler, act, unanswered] {
+        // An answer that comes after the time for it isn't heard.
+        const bool isHeard = current != trouble::AnswerLost && delay <= timeout;
+        if (!isHeard)
+            timers.after(timeout, [handler, unanswered] { handler(unanswered); });
+        timers.after(delay, [handler, act, isHeard] {
             const auto result = act();
-            if (current == trouble::AnswerLost)
-                timers.after(timeout, [handler, unanswered] { handler(unanswered); });
-            else
+            if (isHeard)
                 handler(result);
         });
     }
--- a/Source/UnitTests/Core/Records/SpreadAppenderTest.cpp
+++ b/Source/UnitTests/Core/Records/SpreadAppenderTest.cpp
@@ -45,6 +45,20 @@
     CHECK(s.outcomes == std::vector { append_outcome::Stored, append_outcome::Stored });
 }
 
+TEST_CASE("A store that is slow all over gets more time, instead of each record going everywhere", "[records]")
+{
+    spread_story s;
+    s.store.delay = Common::millis(800);
+    s.add("a");
+    s.timers.advance(Common::millis(2500));
+    CHECK(s.outcomes.size() == 1);
+    const auto before = s.store.appends;
+    s.add("b");
+    s.timers.advance(Common::millis(1500));
+    CHECK(s.outcomes.size() == 2);
+    CHECK(s.store.appends == before + 1);
+}
+
 TEST_CASE("A store that refuses is reported at once as one that stored nothing", "[records]")
 {
     spread_story s;
