A seat isn't released while an order to the manager of instances is open

Cause, by reading: a holder that stopped released its seat at once, so the next one (100 ms later) could place a lasting task on a worker whose instance an open order was about to move: the task ends by a move, against its disruption budget. And the answer to such an order was given to the dispatcher of a tenure that may be gone (use after free).

Change: the release waits up to 0.5 s for open orders, and isn't written without their answers; answers after the end of a tenure change nothing. A test: "An order to the manager that is answered after the tenure changes nothing".

--- a/Source/Core/Station/FleetRun.cpp
+++ b/Source/Core/Station/FleetRun.cpp
@@ -114,17 +114,26 @@
     };
     for (const auto& order : orders.moves) {
         m_parts.figures.add("moves");
+        ++m_openOrders;
         m_parts.instances.move(
             order, m_token, instanceTimeout, [self = shared_from_this(), order, report](auto outcome) {
+                --self->m_openOrders;
                 report("instance_moved", order.instance, order.pool.value, outcome);
+                // The tenure, and its dispatcher with it, may be gone.
+                if (self->m_isOver)
+                    return;
                 self->m_planner.onMove(order, outcome, self->m_dispatcher, self->m_parts.timers.now());
             });
     }
     for (const auto& order : orders.upkeeps) {
         m_parts.figures.add("upkeeps");
+        ++m_openOrders;
         m_parts.instances.upkeep(
             order, m_token, instanceTimeout, [self = shared_from_this(), order, report](auto outcome) {
+                --self->m_openOrders;
                 report("upkeep_begun", order.instance, std::to_string(order.wave), outcome);
+                if (self->m_isOver)
+                    return;
                 self->m_planner.onUpkeep(order, outcome, self->m_parts.timers.now());
                 self->showChanges();
             });
--- a/Source/Core/Station/FleetRun.h
+++ b/Source/Core/Station/FleetRun.h
@@ -30,6 +30,8 @@
 
     void start(const std::map<std::int64_t, Capacity::wave_status>& known);
     void stop() { m_isOver = true; }
+    /// Orders to the manager that have no answer yet.
+    bool hasOpenOrders() const { return m_openOrders > 0; }
     void setRules(const Rules::fleet_rules&);
     void setWaves(const std::map<std::int64_t, Rules::upkeep_wave>&);
     /// Plans, when the last plan is old enough.
@@ -51,6 +53,7 @@
     Common::instant m_reportedAt;
     /// Last state that operators were shown of each wave.
     std::map<std::int64_t, bool> m_shown;
+    int m_openOrders { 0 };
     bool m_isOver { false };
 };
 
--- a/Source/Core/Station/HolderOffice.cpp
+++ b/Source/Core/Station/HolderOffice.cpp
@@ -13,6 +13,9 @@
     /// How long a new holder waits for the store before it gives its seat up.
     constexpr Common::millis tenurePatience { 2000 };
     constexpr Common::millis releaseTimeout { 300 };
+    /// A seat isn't released when the manager of instances doesn't answer for so long.
+    constexpr Common::millis releasePatience { 500 };
+    constexpr Common::millis releasePoll { 20 };
     constexpr auto holderWriter = "holder";
 
 }
@@ -98,8 +101,18 @@
         run->stop();
     m_parts.intake.setGap(intakeGap);
     m_seat->vacate();
-    if (!isFullyNoted)
+    if (isFullyNoted)
+        release(run, m_parts.timers.now() + releasePatience);
+}
+
+void holder_office::release(const std::shared_ptr<holder_run>& run, Common::instant until)
+{
+    // What the manager has yet to carry out would end tasks that the next holder places there.
+    if (run->hasOpenOrders()) {
+        if (m_parts.timers.now() < until)
+            m_parts.timers.after(releasePoll, [this, run, until] { release(run, until); });
         return;
+    }
     Common::writeEvent(Common::log_level::Info, Common::log_category::Roster, "seat_released",
         { { "number", std::to_string(run->number()) } });
     // The next holder needn't wait for workers that don't answer it.
--- a/Source/Core/Station/HolderOffice.h
+++ b/Source/Core/Station/HolderOffice.h
@@ -63,6 +63,7 @@
     void fill(holder_run&);
     /// Ends the tenure, if there is one, and tells the next holder what it may rely on.
     void endTenure();
+    void release(const std::shared_ptr<holder_run>&, Common::instant until);
 
     office_parts m_parts;
     office_options m_options;
--- a/Source/Core/Station/HolderRun.h
+++ b/Source/Core/Station/HolderRun.h
@@ -49,6 +49,8 @@
     /// Gives no more orders. What runs goes on under its leases.
     void stop();
     bool isOver() const { return m_isOver; }
+    /// The manager of instances hasn't answered all orders.
+    bool hasOpenOrders() const { return m_fleet && m_fleet->hasOpenOrders(); }
     std::int64_t number() const { return m_tenure.number; }
     /// Whether the log has all that this holder, and those before it, may have started.
     bool isFullyNoted() const { return m_isStarted && m_dispatcher.isFullyNoted(m_parts.timers.now()); }
--- a/Source/UnitTests/Core/Station/HolderRunTest.cpp
+++ b/Source/UnitTests/Core/Station/HolderRunTest.cpp
@@ -42,6 +42,24 @@
     int looks { 0 };
 };
 
+/// One instance in the spare pool; orders wait until a test answers them.
+struct slow_manager : Capacity::instance_gateway {
+    void list(Common::millis,
+        std::function<void(std::optional<std::vector<Capacity::instance_entry>>)> handler) override
+    {
+        handler(std::vector<Capacity::instance_entry> { { .id = { "i" },
+            .pool = { "spare" },
+            .capacity = { .processor = { 8000 }, .memory = { 1000 } } } });
+    }
+    void move(const Capacity::move_order&, Dispatch::fencing_token, Common::millis, outcome_handler handler) override
+    {
+        open.push_back(std::move(handler));
+    }
+    void upkeep(const Capacity::upkeep_order&, Dispatch::fencing_token, Common::millis, outcome_handler) override { }
+
+    std::vector<outcome_handler> open;
+};
+
 struct no_status : Station::operator_format {
     Records::keyed_record waveStatus(std::int64_t, bool) const override { return {}; }
 };
@@ -63,6 +81,7 @@
             Station::holder_parts { .store = store,
                 .timers = timers,
                 .workers = gateway,
+                .instances = &manager,
                 .operatorFormat = format,
                 .book = book,
                 .seat = *seat,
@@ -79,7 +98,7 @@
     void begin()
     {
         Rules::fleet_rules rules;
-        rules.pools = { { .id = { "pool" }, .checksCapacity = true } };
+        rules.pools = { { .id = { "pool" }, .checksCapacity = true }, { .id = { "spare" }, .isSpare = true } };
         rules.queues = { { .id = { "q" }, .host = "h", .pathPrefix = "/q/", .pool = { "pool" }, .maxAttempts = 2 } };
         run->setRules(rules);
         run->workerListed({ .id = { "w" },
@@ -100,6 +119,7 @@
     manual_timers timers;
     fake_store store { timers };
     counting_gateway gateway { timers };
+    slow_manager manager;
     no_status format;
     Station::counters figures;
     Jobs::job_book book;
@@ -143,3 +163,16 @@
     CHECK(s.gateway.starts == 0);
     CHECK(s.gateway.looks == looks);
 }
+
+TEST_CASE("An order to the manager that is answered after the tenure changes nothing", "[station]")
+{
+    tenure_story s;
+    s.begin();
+    s.accept("j");
+    s.timers.advance(Common::millis(300));
+    REQUIRE(s.manager.open.size() == 1);
+    CHECK(s.run->hasOpenOrders());
+    s.run->stop();
+    s.manager.open[0](Capacity::instance_outcome::Done);
+    CHECK_FALSE(s.run->hasOpenOrders());
+}
