Answers to starts and stops find their run in one way

Cause: onStart and onStop looked up worker and run alike, each for itself, beside findRun.

Change: both use findRun; planned_start is a placement, as findRun is asked for others too. Behaviour stays as it is.

--- a/Source/Core/Dispatch/Dispatcher.h
+++ b/Source/Core/Dispatch/Dispatcher.h
@@ -139,7 +139,8 @@
     void vacate(const Common::worker_id&);
 
 private:
-    struct planned_start {
+    /// One start of a task on a worker.
+    struct placement {
         Jobs::task_name task;
         Common::worker_id worker;
         run_number run;
@@ -166,9 +167,9 @@
     /// Takes the room; the start is sent once the log has the placement.
     void planStart(open_job&, const Jobs::task_name&, worker_state&, run_number, Common::instant now);
     void sendStarts(Common::instant now, dispatch_orders&);
-    bool maySend(const planned_start&, Common::instant now);
-    task_run* findRun(const planned_start&);
-    task_run* findPlanned(const planned_start&);
+    bool maySend(const placement&, Common::instant now);
+    task_run* findRun(const placement&);
+    task_run* findPlanned(const placement&);
     void dropUnsent(Common::instant now);
     void noteStored(const Jobs::job_progress&);
     /// Takes over a placement by an earlier holder, until its worker tells.
@@ -215,7 +216,7 @@
     /// Jobs of which the log said nothing when they came here, so that no earlier holder can have begun them.
     std::set<std::string> m_untouched;
     /// Starts whose placements the log doesn't have yet.
-    std::vector<planned_start> m_planned;
+    std::vector<placement> m_planned;
     team_usage m_usage;
     std::set<std::string> m_dirty;
     std::map<Common::worker_id, end_number> m_uncovered;
--- a/Source/Core/Dispatch/DispatcherEvents.cpp
+++ b/Source/Core/Dispatch/DispatcherEvents.cpp
@@ -124,13 +124,11 @@
 void dispatcher::onStart(const start_order& order, const order_reply& reply, Common::instant now)
 {
     auto* answerer = answering(order.worker.id, reply, now);
-    if (!answerer)
+    auto* held = findRun({ .task = order.task, .worker = order.worker.id, .run = order.run });
+    if (!answerer || !held)
         return;
     auto& worker = *answerer;
-    const auto entry = worker.runs.find(order.task);
-    if (entry == worker.runs.end() || entry->second.run != order.run)
-        return;
-    auto& run = entry->second;
+    auto& run = *held;
     const dispatch_event event { .kind = dispatch_event_kind::StartRefused,
         .task = order.task,
         .worker = order.worker.id,
@@ -169,17 +167,15 @@
 void dispatcher::onStop(const stop_order& order, const order_reply& reply, Common::instant now)
 {
     auto* answerer = answering(order.worker.id, reply, now);
-    if (!answerer)
+    auto* held = findRun({ .task = order.task, .worker = order.worker.id, .run = order.run });
+    if (!answerer || !held)
         return;
     auto& worker = *answerer;
-    const auto entry = worker.runs.find(order.task);
-    if (entry == worker.runs.end() || entry->second.run != order.run)
-        return;
-    entry->second.isStopOpen = false;
+    held->isStopOpen = false;
     const bool isTaken = reply.outcome == order_outcome::Done || reply.outcome == order_outcome::OldRun;
     if (!isTaken)
         return;
-    entry->second.stopTakenAt = now;
+    held->stopTakenAt = now;
     worker.nextHold = now + m_options.stopTime;
 }
 
--- a/Source/Core/Dispatch/DispatcherNotes.cpp
+++ b/Source/Core/Dispatch/DispatcherNotes.cpp
@@ -41,7 +41,7 @@
     m_planned.push_back({ .task = name, .worker = worker.entry.id, .run = run });
 }
 
-task_run* dispatcher::findRun(const planned_start& start)
+task_run* dispatcher::findRun(const placement& start)
 {
     const auto worker = m_workers.find(start.worker);
     if (worker == m_workers.end())
@@ -51,13 +51,13 @@
     return isThere ? &run->second : nullptr;
 }
 
-task_run* dispatcher::findPlanned(const planned_start& start)
+task_run* dispatcher::findPlanned(const placement& start)
 {
     auto* run = findRun(start);
     return run && run->phase == run_phase::Planned ? run : nullptr;
 }
 
-bool dispatcher::maySend(const planned_start& planned, Common::instant now)
+bool dispatcher::maySend(const placement& planned, Common::instant now)
 {
     return findPlanned(planned) && findJob(planned.task.job) && m_grant >= m_options.lease.leastGrant
         && isOpen(m_workers.at(planned.worker), now);
@@ -78,7 +78,7 @@
         }
         // A gang starts whole or not at all.
         const bool isGang = job && job->spec(planned.task).isGang;
-        const bool mayGo = std::all_of(all.begin(), all.end(), [&](const planned_start& other) {
+        const bool mayGo = std::all_of(all.begin(), all.end(), [&](const placement& other) {
             const bool isMate = isGang && isSameStep(other.task, planned.task);
             return (!isMate && other.task != planned.task) || !findPlanned(other) || maySend(other, now);
         });
