A gang whose first member can't start isn't started by the others

Cause: found by reading. Whether a gang may start was judged member by member, while the earlier ones were already released: a closed worker of the first member let the second start alone.

Ruled out: the twin case, a closed worker of the last member; it was judged right.

Change: gangs with a member that can't start are found before any start is touched. The loop over all planned starts for each of them, gang or not, is gone. The test plays both workers; it failed for the first one before.

--- a/Source/Core/Dispatch/DispatcherNotes.cpp
+++ b/Source/Core/Dispatch/DispatcherNotes.cpp
@@ -66,6 +66,13 @@
 void dispatcher::sendStarts(Common::instant now, dispatch_orders& orders)
 {
     const auto all = std::exchange(m_planned, {});
+    // A gang starts whole or not at all: those with a member that can't start, before any of them is touched.
+    std::vector<Jobs::task_name> brokenGangs;
+    for (const auto& planned : all) {
+        const auto* job = findJob(planned.task.job);
+        if (job && job->spec(planned.task).isGang && findPlanned(planned) && !maySend(planned, now))
+            brokenGangs.push_back(planned.task);
+    }
     for (const auto& planned : all) {
         auto* run = findPlanned(planned);
         if (!run)
@@ -76,14 +83,10 @@
             m_planned.push_back(planned);
             continue;
         }
-        // A gang starts whole or not at all.
-        const bool isGang = job && job->spec(planned.task).isGang;
-        const bool mayGo = std::all_of(all.begin(), all.end(), [&](const placement& other) {
-            const bool isMate = isGang && isSameStep(other.task, planned.task);
-            return (!isMate && other.task != planned.task) || !findPlanned(other) || maySend(other, now);
-        });
+        const bool isInBrokenGang = std::any_of(brokenGangs.begin(), brokenGangs.end(),
+            [&planned](const auto& mate) { return isSameStep(mate, planned.task); });
         auto& worker = m_workers.at(planned.worker);
-        if (!mayGo || !job) {
+        if (isInBrokenGang || !maySend(planned, now)) {
             releaseRun(worker, planned.task, now);
             continue;
         }
--- a/Source/UnitTests/Core/Dispatch/PlacementNotesTest.cpp
+++ b/Source/UnitTests/Core/Dispatch/PlacementNotesTest.cpp
@@ -86,10 +86,12 @@
     f.isStored = false;
     f.plan();
     const auto note = f.dispatcher.takeCommit();
-    f.dispatcher.setCordoned({ "w2" }, true);
+    const std::string closed = GENERATE("w1", "w2");
+    f.dispatcher.setCordoned({ closed }, true);
     f.dispatcher.onCommitted(note, f.now);
     CHECK(f.plan().starts.empty());
     CHECK(f.dispatcher.workers().at({ "w1" }).runs.empty());
+    CHECK(f.dispatcher.workers().at({ "w2" }).runs.empty());
 }
 
 TEST_CASE("While the store doesn't answer, only jobs that the next holder takes for begun go on", "[dispatch]")
