A reader that is behind on a slow link catches up

Cause: a read of the store asks for all that is there, up to 1 MB, and has a fixed timeout. Once a reader is so far behind that the answer doesn't arrive in time, the next read asks for the same and more, so it never catches up. Pages of newest records had the same fault, and each failure discarded the pages before it.

Change: the limit of an answer is halved after a read that used up its timeout, and doubled while answers are cut short and arrive quickly or hold no record at all. A reader that is still behind reads on at once. A page is repeated with a longer timeout and keeps the pages before it.

--- a/Source/Core/Records/PartitionReader.cpp
+++ b/Source/Core/Records/PartitionReader.cpp
@@ -9,6 +9,10 @@
 
     /// Delay after a read without an answer.
     constexpr Common::millis retryDelay { 150 };
+    /// Factor by which timeouts and limits of the size of an answer are adapted.
+    constexpr int adaptationFactor = 2;
+    /// The limit grows when an answer took less than this share of its timeout.
+    constexpr int quickAnswerShare = 4;
 
 }
 
@@ -18,33 +22,41 @@
     , m_timers(timers)
     , m_options(options)
     , m_sink(sink)
+    , m_pageTimeout(options.timeoutMargin)
+    , m_maxBytes(options.firstBytes)
 {
 }
 
-void partition_reader::start() { readNewest({}); }
+void partition_reader::start() { startOver(); }
 
-void partition_reader::readNewest(const std::string& afterKey)
+void partition_reader::startOver()
+{
+    m_newest.clear();
+    m_newestEnd.reset();
+    readPage();
+}
+
+void partition_reader::readPage()
 {
     const auto began = m_timers.now();
-    m_store.newest(m_options.partition, afterKey, m_options.timeoutMargin,
+    const auto afterKey = m_newest.empty() ? std::string() : m_newest.back().key;
+    m_store.newest(m_options.partition, afterKey, m_pageTimeout,
         [self = shared_from_this(), began](const newest_result& page) { self->onPage(page, began); });
 }
 
 void partition_reader::onPage(const newest_result& page, Common::instant began)
 {
     if (!page.isRead) {
-        m_timers.after(retryDelay, [self = shared_from_this()] {
-            self->m_newest.clear();
-            self->m_newestEnd.reset();
-            self->readNewest({});
-        });
+        if (Common::elapsed(began, m_timers.now()) >= m_pageTimeout)
+            m_pageTimeout = std::min(m_pageTimeout * adaptationFactor, m_options.maxPageTimeout);
+        m_timers.after(retryDelay, [self = shared_from_this()] { self->readPage(); });
         return;
     }
     if (!m_newestEnd)
         m_newestEnd = page.end;
     m_newest.insert(m_newest.end(), page.records.begin(), page.records.end());
     if (page.hasMore && !page.records.empty()) {
-        readNewest(page.records.back().key);
+        readPage();
         return;
     }
     m_sink.reset();
@@ -54,6 +66,7 @@
     m_next = *m_newestEnd;
     m_newest.clear();
     m_newestEnd.reset();
+    m_pageTimeout = m_options.timeoutMargin;
     m_isLoaded = true;
     confirm(began);
     m_sink.batchApplied();
@@ -63,7 +76,7 @@
 void partition_reader::readNext()
 {
     const auto began = m_timers.now();
-    m_store.read(m_options.partition, m_next, m_options.wait, m_options.wait + m_options.timeoutMargin,
+    m_store.read(nextRequest(m_options.wait), m_options.wait + m_options.timeoutMargin,
         [self = shared_from_this(), began](const read_result& result) { self->onRead(result, began, true); });
 }
 
@@ -71,9 +84,10 @@
 {
     if (result.outcome == read_outcome::Gone && isLoop) {
         m_isLoaded = false;
-        readNewest({});
+        startOver();
         return;
     }
+    adaptLimit(result, began);
     if (result.outcome != read_outcome::Read) {
         if (isLoop)
             retryLater();
@@ -87,12 +101,32 @@
         m_sink.batchApplied();
     if (!isLoop)
         return;
-    if (hasNewRecords)
+    if (hasNewRecords && m_next >= result.end)
         delayNextRead();
     else
         readNext();
 }
 
+read_request partition_reader::nextRequest(Common::millis wait) const
+{
+    return { .partition = m_options.partition, .from = m_next, .wait = wait, .maxBytes = m_maxBytes };
+}
+
+void partition_reader::adaptLimit(const read_result& result, Common::instant began)
+{
+    const auto took = Common::elapsed(began, m_timers.now());
+    if (result.outcome == read_outcome::Failed && took >= m_options.timeoutMargin) {
+        m_maxBytes = std::max(m_maxBytes / adaptationFactor, m_options.minBytes);
+        return;
+    }
+    // An answer without records means that the next record is larger than the limit.
+    const bool isTooSmall = result.outcome == read_outcome::Read && result.records.empty() && result.next < result.end;
+    const bool wasCut = result.outcome == read_outcome::Read && result.next < result.end;
+    const bool wasQuick = took * quickAnswerShare < m_options.timeoutMargin;
+    if (isTooSmall || (wasCut && wasQuick))
+        m_maxBytes = std::min(m_maxBytes * adaptationFactor, m_options.maxBytes);
+}
+
 void partition_reader::delayNextRead()
 {
     m_isDelayed = true;
@@ -162,7 +196,7 @@
         return;
     m_isBarrierReadOpen = true;
     const auto began = m_timers.now();
-    m_store.read(m_options.partition, m_next, Common::millis(0), m_options.timeoutMargin,
+    m_store.read(nextRequest(Common::millis(0)), m_options.timeoutMargin,
         [self = shared_from_this(), began](const read_result& result) {
             self->m_isBarrierReadOpen = false;
             if (self->m_isLoaded)
--- a/Source/Core/Records/PartitionReader.h
+++ b/Source/Core/Records/PartitionReader.h
@@ -26,10 +26,17 @@
     Common::millis wait { 1000 };
     /// Time that a read may take beyond its wait.
     Common::millis timeoutMargin { 1500 };
+    /// Limit of the size of an answer: at first, and the bounds between which it is adapted.
+    std::size_t firstBytes { 256 * 1024 };
+    std::size_t minBytes { 16 * 1024 };
+    std::size_t maxBytes { 1024 * 1024 };
+    /// Longest timeout of a page of newest records, whose size can't be limited.
+    Common::millis maxPageTimeout { 6000 };
 };
 
 /// Reads one partition: first the newest record of each key, then record by record. Starts over with the newest records
-/// when the store no longer keeps the next one.
+/// when the store no longer keeps the next one. A read without an answer is repeated with a smaller limit, and a page with
+/// a longer timeout, so that a slow link delays a reader that is behind but doesn't stop it.
 class partition_reader : public std::enable_shared_from_this<partition_reader> {
 public:
     partition_reader(record_store&, timer_service&, const partition_reader_options&, record_sink&);
@@ -53,9 +60,12 @@
         bool isOver { false };
     };
 
-    void readNewest(const std::string& afterKey);
+    void startOver();
+    void readPage();
     void onPage(const newest_result&, Common::instant began);
     void readNext();
+    read_request nextRequest(Common::millis wait) const;
+    void adaptLimit(const read_result&, Common::instant began);
     void onRead(const read_result&, Common::instant began, bool isLoop);
     void applyAll(const read_result&);
     void confirm(Common::instant began);
@@ -69,6 +79,9 @@
     record_sink& m_sink;
     std::vector<keyed_record> m_newest;
     std::optional<Common::log_offset> m_newestEnd;
+    /// Timeout of the next page, and limit of the next read.
+    Common::millis m_pageTimeout;
+    std::size_t m_maxBytes;
     Common::log_offset m_next;
     bool m_isLoaded { false };
     bool m_isDelayed { false };
--- a/Source/Core/Records/RecordStore.h
+++ b/Source/Core/Records/RecordStore.h
@@ -2,6 +2,7 @@
 
 #include "Common/Clock.h"
 
+#include <cstddef>
 #include <functional>
 #include <optional>
 #include <string>
@@ -63,6 +64,16 @@
     Common::log_offset end;
 };
 
+struct read_request {
+    topic_partition partition;
+    /// Offset of the first record that is wanted.
+    Common::log_offset from;
+    /// How long the store waits for a record while there is none.
+    Common::millis wait { 0 };
+    /// Longest answer. Records that don't fit are left for the next read.
+    std::size_t maxBytes { 1024 * 1024 };
+};
+
 enum class read_outcome {
     Read,
     /// The wanted records are no longer kept.
@@ -91,10 +102,8 @@
     virtual ~record_store() = default;
 
     virtual void append(const append_request&, Common::millis timeout, std::function<void(append_result)>) = 0;
-    /// Answers as soon as there is a record, or after `wait`.
-    virtual void read(const topic_partition&, Common::log_offset from, Common::millis wait, Common::millis timeout,
-        std::function<void(read_result)>)
-        = 0;
+    /// Answers as soon as there is a record, or after the request's `wait`.
+    virtual void read(const read_request&, Common::millis timeout, std::function<void(read_result)>) = 0;
     /// One page of the newest records of all keys after `afterKey`. The pages aren't a consistent snapshot.
     virtual void newest(
         const topic_partition&, const std::string& afterKey, Common::millis timeout, std::function<void(newest_result)>)
--- a/Source/UnitTests/Core/Explorer/ClusterSimulation.cpp
+++ b/Source/UnitTests/Core/Explorer/ClusterSimulation.cpp
@@ -109,7 +109,7 @@
             m_simulation.store().append(request, timeout, whileAlive(std::move(handler)));
     }
 
-    void read(const Records::topic_partition& source, Common::log_offset from, Common::millis wait, Common::millis timeout,
+    void read(const Records::read_request& request, Common::millis timeout,
         std::function<void(Records::read_result)> handler) override
     {
         if (!m_isAlive)
@@ -117,7 +117,7 @@
         if (isStoreUnreachable())
             after(timeout, [handler] { handler({}); });
         else
-            m_simulation.store().read(source, from, wait, timeout, whileAlive(std::move(handler)));
+            m_simulation.store().read(request, timeout, whileAlive(std::move(handler)));
     }
 
     void newest(const Records::topic_partition& source, const std::string& afterKey, Common::millis timeout,
--- a/Source/UnitTests/Core/Records/FakeStore.h
+++ b/Source/UnitTests/Core/Records/FakeStore.h
@@ -78,15 +78,17 @@
             Records::append_result { .outcome = Records::append_outcome::Unknown });
     }
 
-    void read(const Records::topic_partition& topicPartition, Common::log_offset from, Common::millis wait,
-        Common::millis timeout, std::function<void(Records::read_result)> handler) override
+    void read(const Records::read_request& request, Common::millis timeout,
+        std::function<void(Records::read_result)> handler) override
     {
         ++reads;
-        const auto readRecords = [this, topicPartition, from] { return readNow(topicPartition, from); };
-        const bool isEmpty = partitions[topicPartition].end() <= from.value;
-        const auto delay = isEmpty && wait.count() > 0 ? wait : Common::millis(0);
-        timers.after(delay, [this, timeout, handler, readRecords] {
-            answer(timeout, handler, readRecords, Records::read_result {}, Records::read_result {});
+        const bool isEmpty = partitions[request.partition].end() <= request.from.value;
+        const auto wait = isEmpty && request.wait.count() > 0 ? request.wait : Common::millis(0);
+        timers.after(wait, [this, request, timeout, handler] {
+            const auto size = sizeOf(readNow(request).records);
+            answer(
+                timeout, handler, [this, request] { return readNow(request); }, Records::read_result {},
+                Records::read_result {}, transferTime(size));
         });
     }
 
@@ -107,7 +109,8 @@
             }
             return result;
         };
-        answer(timeout, handler, listRecords, Records::newest_result {}, Records::newest_result {});
+        const auto time = transferTime(sizeOf(listRecords().records));
+        answer(timeout, handler, listRecords, Records::newest_result {}, Records::newest_result {}, time);
     }
 
     /// Appends as another writer would.
@@ -124,7 +127,8 @@
     }
 
     template <typename Handler, typename Act, typename Result>
-    void answer(Common::millis timeout, Handler handler, Act act, Result refused, Result unanswered)
+    void answer(Common::millis timeout, Handler handler, Act act, Result refused, Result unanswered,
+        Common::millis transfer = Common::millis(0))
     {
         const auto current = fault;
         if (current == simulated_fault::Silent) {
@@ -136,10 +140,11 @@
             return;
         }
         // An answer after the timeout is lost.
-        const bool isAnswered = current != simulated_fault::AnswerLost && delay <= timeout;
+        const auto time = delay + transfer;
+        const bool isAnswered = current != simulated_fault::AnswerLost && time <= timeout;
         if (!isAnswered)
             timers.after(timeout, [handler, unanswered] { handler(unanswered); });
-        timers.after(delay, [handler, act, isAnswered] {
+        timers.after(time, [handler, act, isAnswered] {
             const auto result = act();
             if (isAnswered)
                 handler(result);
@@ -184,25 +189,47 @@
         return result;
     }
 
-    Records::read_result readNow(const Records::topic_partition& topicPartition, Common::log_offset from)
+    Records::read_result readNow(const Records::read_request& request)
     {
-        auto& part = partitions[topicPartition];
-        if (from.value < part.first)
+        auto& part = partitions[request.partition];
+        if (request.from.value < part.first)
             return { .outcome = Records::read_outcome::Gone };
-        Records::read_result result { .outcome = Records::read_outcome::Read, .end = { part.end() }, .next = from };
+        Records::read_result result { .outcome = Records::read_outcome::Read, .end = { part.end() }, .next = request.from };
+        std::size_t size = 0;
         for (const auto& record : part.records) {
-            if (record.offset < from)
+            if (record.offset < request.from)
                 continue;
+            size += sizeOf(record);
+            if (size > request.maxBytes)
+                break;
             result.records.push_back(record);
             result.next = { record.offset.value + 1 };
         }
         return result;
     }
 
+    static std::size_t sizeOf(const Records::keyed_record& record) { return record.key.size() + record.value.size(); }
+
+    template <typename RecordList>
+    static std::size_t sizeOf(const RecordList& records)
+    {
+        std::size_t size = 0;
+        for (const auto& record : records)
+            size += sizeOf(record);
+        return size;
+    }
+
+    Common::millis transferTime(std::size_t size) const
+    {
+        return Common::millis(bytesPerMilli > 0 ? static_cast<std::int64_t>(size / bytesPerMilli) : 0);
+    }
+
     manual_timers& timers;
     simulated_fault fault { simulated_fault::None };
     Common::millis delay { 4 };
     std::size_t pageSize { 500 };
+    /// Bandwidth of reads; 0 for no limit.
+    std::size_t bytesPerMilli { 0 };
     std::map<Records::topic_partition, partition> partitions;
     /// Appends to these are neither executed nor answered.
     std::set<Records::topic_partition> silentPartitions;
--- a/Source/UnitTests/Core/Records/PartitionReaderTest.cpp
+++ b/Source/UnitTests/Core/Records/PartitionReaderTest.cpp
@@ -136,3 +136,58 @@
     CHECK(answer == true);
     CHECK(other.values.contains("x"));
 }
+
+// A leader on a small link acted on registrations and cancellations that were many seconds old.
+TEST_CASE("A reader that is behind on a slow link catches up", "[records]")
+{
+    reader_fixture s;
+    s.reader->start();
+    s.timers.advance(Common::millis(50));
+    constexpr std::size_t linkBytesPerMilli = 100;
+    s.store.bytesPerMilli = linkBytesPerMilli;
+    const std::string value(1000, 'v');
+    constexpr int records = 600;
+
+    SECTION("although all that it lacks doesn't arrive within one timeout")
+    {
+        for (int number = 0; number < records; ++number)
+            s.store.put(s.topic, std::to_string(number), value);
+        s.timers.advance(Common::millis(30000));
+        CHECK(s.sink.values.size() == records);
+    }
+    SECTION("although more comes all the time")
+    {
+        for (int number = 0; number < records; ++number) {
+            s.store.put(s.topic, std::to_string(number), value);
+            s.timers.advance(Common::millis(20));
+        }
+        s.timers.advance(Common::millis(5000));
+        CHECK(s.sink.values.size() == records);
+        const auto age = s.reader->confirmedAt().has_value() ? s.timers.now() - *s.reader->confirmedAt() : Common::millis(60000);
+        CHECK(age < Common::millis(2500));
+    }
+    SECTION("although a record is larger than an answer was limited to")
+    {
+        s.store.fault = fake_store::simulated_fault::Silent;
+        s.timers.advance(Common::millis(30000));
+        s.store.fault = fake_store::simulated_fault::None;
+        s.store.put(s.topic, "large", std::string(120000, 'v'));
+        s.timers.advance(Common::millis(30000));
+        CHECK(s.sink.values.contains("large"));
+    }
+}
+
+// After a power loss of all instances, those with a small link read the first page again and again.
+TEST_CASE("A reader loads pages that don't arrive within the first timeout", "[records]")
+{
+    reader_fixture s;
+    constexpr std::size_t linkBytesPerMilli = 100;
+    s.store.bytesPerMilli = linkBytesPerMilli;
+    const std::string value(1000, 'v');
+    for (int number = 0; number < 1200; ++number)
+        s.store.put(s.topic, std::to_string(number), value);
+    s.reader->start();
+    s.timers.advance(Common::millis(45000));
+    CHECK(s.reader->isLoaded());
+    CHECK(s.sink.values.size() == 1200);
+}
