Log and export the load of an instance and of the leader

An overloaded leader couldn't be told from its logs: neither the lag of the event loop nor the time that an order takes was logged, so "processor" and "link" were told apart only by trials on changed copies.

A load monitor on every instance gets the lateness of periodic timers and writes `loop_behind` and `loop_caught_up` (300 ms late, and 300 ms without a timer later than 100 ms). The metrics address serves the same values as gauges. Processor time comes from getrusage; the monitor, the meters and the dispatcher use no clocks.

Nothing about dispatching changes.

--- a/Source/Core/ControlPlane/EntryNode.cpp
+++ b/Source/Core/ControlPlane/EntryNode.cpp
@@ -2,6 +2,7 @@
 
 #include "Common/Hashing.h"
 #include "Common/Logging.h"
+#include "Common/ProcessorTime.h"
 
 namespace ControlPlane {
 
@@ -22,6 +23,7 @@
     /// The load balancer checks once a second and removes an instance after two failed checks.
     constexpr Common::millis balancerRemovalTime { 2500 };
     constexpr Common::millis shutdownPollInterval { 50 };
+    constexpr Common::millis loadInterval { 200 };
     /// Part of the stop grace period that is reserved for the exit itself.
     constexpr Common::millis stopReserve { 700 };
 
@@ -89,6 +91,13 @@
         .appender = *m_appender,
         .format = m_parts.jobApiFormat,
         .eventCounters = m_eventCounters });
+    m_views = std::make_unique<view_monitor>(*m_timers);
+    m_views->add(view_kind::Registrations, m_workerList);
+    m_views->add(view_kind::Rules, m_operators);
+    for (const auto& reader : m_intake->readers())
+        m_views->add(view_kind::Intake, reader);
+    m_health = std::make_unique<leader_health>(
+        leader_health { .load = m_load, .views = *m_views, .processorTime = Common::processorTime });
     m_leadership = std::make_unique<leadership_manager>(leadership_parts { .store = m_parts.store,
                                                             .timers = *m_timers,
                                                             .workers = m_parts.workers,
@@ -99,7 +108,8 @@
                                                             .progress = *m_progress,
                                                             .workerList = *m_workerList,
                                                             .intake = *m_intake,
-                                                            .eventCounters = m_eventCounters },
+                                                            .eventCounters = m_eventCounters,
+                                                            .health = *m_health },
         leadership_options { .member = m_member,
             .progressTopic = m_parts.topics.progress,
             .statusTopic = m_parts.topics.status,
@@ -115,24 +125,50 @@
     if (!m_callerListener->start() || !m_readinessListener->start() || !startMetrics())
         return false;
     m_leadership->start();
+    watchLoad();
     return true;
 }
 
+void entry_node::watchLoad()
+{
+    m_timers->after(loadInterval, [this, due = m_timers->now() + loadInterval] {
+        if (const auto change = m_load.timerFired(due, m_timers->now()))
+            report(*change, m_load.thresholds());
+        watchLoad();
+    });
+}
+
 bool entry_node::startMetrics()
 {
     if (!m_settings.metrics)
         return true;
     m_metricsListener = std::make_unique<EventLoop::http_listener>(m_parts.loop, *m_settings.metrics,
         EventLoop::listener_limits {}, [this](const EventLoop::http_request&, const EventLoop::responder& respond) {
-            EventLoop::http_response response { .status = 200, .contentType = "text/plain" };
-            for (const auto& [name, count] : m_eventCounters.all())
-                response.body += "loft_" + name + ' ' + std::to_string(count) + '\n';
-            response.body += "loft_jobs " + std::to_string(m_jobRegistry.size()) + '\n';
-            respond(std::move(response));
+            answerMetrics(respond);
         });
     return m_metricsListener->start();
 }
 
+void entry_node::answerMetrics(const EventLoop::responder& respond) const
+{
+    EventLoop::http_response response { .status = 200, .contentType = "text/plain" };
+    const auto add = [&response](const std::string& name, std::int64_t value) {
+        response.body += "loft_" + name + ' ' + std::to_string(value) + '\n';
+    };
+    for (const auto& [name, count] : m_eventCounters.all())
+        add(name, count);
+    add("jobs", static_cast<std::int64_t>(m_jobRegistry.size()));
+    add("loop_behind", m_load.isBehind() ? 1 : 0);
+    add("loop_last_lag_ms", m_load.lag().count());
+    const auto* load = m_leadership ? m_leadership->load() : nullptr;
+    add("leading", load ? 1 : 0);
+    if (load) {
+        for (const auto& gauge : load->gauges())
+            add(std::string("leader_") + gauge.name, gauge.value);
+    }
+    respond(std::move(response));
+}
+
 bool entry_node::isReady() const
 {
     const auto confirmed = m_operators->confirmedAt();
--- a/Source/Core/ControlPlane/EntryNode.h
+++ b/Source/Core/ControlPlane/EntryNode.h
@@ -58,6 +58,9 @@
     bool isReady() const;
     void answerReadiness(const EventLoop::http_request&, const EventLoop::responder&) const;
     bool startMetrics();
+    void answerMetrics(const EventLoop::responder&) const;
+    /// Measures the lag of the event loop once each interval.
+    void watchLoad();
     void finishShutdown();
     std::shared_ptr<Records::partition_reader> startReader(
         const Records::topic_partition&, Common::millis readInterval, Records::record_sink&);
@@ -68,6 +71,9 @@
     std::string m_member;
     Jobs::job_registry m_jobRegistry;
     counters m_eventCounters;
+    load_monitor m_load;
+    std::unique_ptr<view_monitor> m_views;
+    std::unique_ptr<leader_health> m_health;
     intake_feed m_intakeFeed;
     progress_feed m_progressFeed;
     std::shared_ptr<Records::partition_reader> m_operators;
--- a/Source/Core/ControlPlane/LeaderTerm.cpp
+++ b/Source/Core/ControlPlane/LeaderTerm.cpp
@@ -134,6 +134,7 @@
               .sequence = 1,
               .appendInterval = commitInterval,
               .callTimeout = commitTimeout }))
+    , m_load(parts.health, parts.timers.now())
 {
     m_onLost = std::move(onLost);
     if (!parts.instances)
@@ -253,7 +254,24 @@
     } else {
         flush();
     }
-    m_parts.timers.after(tickInterval, [self = shared_from_this()] { self->tick(); });
+    reportLoad();
+    m_parts.timers.after(tickInterval, [self = shared_from_this(), due = m_parts.timers.now() + tickInterval] {
+        self->noteLag(due);
+        self->tick();
+    });
+}
+
+void leader_term::noteLag(Common::instant due)
+{
+    if (const auto change = m_parts.health.load.timerFired(due, m_parts.timers.now()))
+        report(*change, m_parts.health.load.thresholds());
+}
+
+void leader_term::reportLoad()
+{
+    const auto now = m_parts.timers.now();
+    if (m_isStarted && m_load.isDue(now))
+        report(m_load.measure(m_orders, 0, m_dispatcher.backlog(now), now));
 }
 
 void leader_term::closeStaleConnections()
@@ -273,8 +291,9 @@
     if (m_isPlanScheduled || m_isOver || !m_isStarted)
         return;
     m_isPlanScheduled = true;
-    m_parts.timers.after(planDelay, [self = shared_from_this()] {
+    m_parts.timers.after(planDelay, [self = shared_from_this(), due = m_parts.timers.now() + planDelay] {
         self->m_isPlanScheduled = false;
+        self->noteLag(due);
         self->planAndSend();
     });
 }
@@ -317,8 +336,11 @@
 void leader_term::sendStart(const Dispatch::start_order& order)
 {
     m_parts.eventCounters.add("starts");
+    m_orders.sent(order_kind::Start);
+    const auto sentAt = m_parts.timers.now();
     m_parts.workers.start(order, m_options.token, orderTimeout,
-        [self = shared_from_this(), order](const Dispatch::order_reply& reply) {
+        [self = shared_from_this(), order, sentAt](const Dispatch::order_reply& reply) {
+            self->noteAnswer(order_kind::Start, sentAt, Common::millis(0), reply);
             self->m_dispatcher.onStart(order, reply, self->m_parts.timers.now());
             self->schedulePlan();
         });
@@ -327,8 +349,11 @@
 void leader_term::sendStop(const Dispatch::stop_order& order)
 {
     m_parts.eventCounters.add("stops");
+    m_orders.sent(order_kind::Stop);
+    const auto sentAt = m_parts.timers.now();
     m_parts.workers.stop(order, m_options.token, orderTimeout,
-        [self = shared_from_this(), order](const Dispatch::order_reply& reply) {
+        [self = shared_from_this(), order, sentAt](const Dispatch::order_reply& reply) {
+            self->noteAnswer(order_kind::Stop, sentAt, Common::millis(0), reply);
             self->m_dispatcher.onStop(order, reply, self->m_parts.timers.now());
             self->schedulePlan();
         });
@@ -337,9 +362,11 @@
 void leader_term::sendPoll(const Dispatch::poll_order& order)
 {
     m_parts.eventCounters.add("holds");
+    m_orders.sent(order_kind::Poll);
     const auto sentAt = m_parts.timers.now();
     m_parts.workers.poll(order, m_options.token, order.wait + pollTimeoutMargin,
         [self = shared_from_this(), order, sentAt](const Dispatch::poll_order_reply& reply) {
+            self->noteAnswer(order_kind::Poll, sentAt, order.wait, reply.base);
             self->m_dispatcher.onPollReply(order, reply, sentAt, self->m_parts.timers.now());
             self->schedulePlan();
         });
@@ -347,9 +374,22 @@
 
 void leader_term::sendPace(const Dispatch::pace_order& order)
 {
+    m_orders.sent(order_kind::Pace);
+    const auto sentAt = m_parts.timers.now();
     m_parts.workers.pace(order, m_options.token, orderTimeout,
-        [self = shared_from_this(), order](
-            const Dispatch::order_reply& reply) { self->m_dispatcher.onPace(order, reply); });
+        [self = shared_from_this(), order, sentAt](const Dispatch::order_reply& reply) {
+            self->noteAnswer(order_kind::Pace, sentAt, Common::millis(0), reply);
+            self->m_dispatcher.onPace(order, reply);
+        });
+}
+
+void leader_term::noteAnswer(
+    order_kind kind, Common::instant sentAt, Common::millis wait, const Dispatch::order_reply& reply)
+{
+    const auto time = Common::elapsed(sentAt + wait, m_parts.timers.now());
+    const bool isAnswered = reply.outcome != Dispatch::order_outcome::NoAnswer
+        && reply.outcome != Dispatch::order_outcome::NotSent;
+    m_orders.answered(kind, time, isAnswered);
 }
 
 void leader_term::flush()
--- a/Source/Core/ControlPlane/LeaderTerm.h
+++ b/Source/Core/ControlPlane/LeaderTerm.h
@@ -3,6 +3,7 @@
 #include "ControlPlane/CapacityController.h"
 #include "ControlPlane/Counters.h"
 #include "ControlPlane/LeaderElection.h"
+#include "ControlPlane/LeaderLoad.h"
 #include "Dispatch/Dispatcher.h"
 #include "Dispatch/WorkerGateway.h"
 #include "Jobs/JobRegistry.h"
@@ -23,6 +24,7 @@
     leader_election& election;
     const progress_feed& progress;
     counters& eventCounters;
+    const leader_health& health;
 };
 
 struct leader_term_options {
@@ -55,6 +57,9 @@
     /// Whether the log has all placements of this leader and earlier ones.
     bool areAllPlacementsLogged() const { return m_isStarted && m_dispatcher.areAllPlacementsLogged(m_parts.timers.now()); }
 
+    /// The last measurement of this leader's load.
+    const leader_load& load() const { return m_load.last(); }
+
     void setRules(const Rules::fleet_rules&);
     void setEvacuated(const std::set<Common::data_centre_id>&);
     void setWaves(const std::map<std::int64_t, Rules::maintenance_wave>&);
@@ -67,6 +72,9 @@
 
 private:
     void tick();
+    void reportLoad();
+    /// Tells the load monitor how late a timer fired that was due at `due`.
+    void noteLag(Common::instant due);
     /// Closes connections to workers that no longer exist.
     void closeStaleConnections();
     void schedulePlan();
@@ -76,6 +84,8 @@
     void sendStop(const Dispatch::stop_order&);
     void sendPoll(const Dispatch::poll_order&);
     void sendPace(const Dispatch::pace_order&);
+    /// Notes the answer to an order; `wait` is the delay that a poll asked for.
+    void noteAnswer(order_kind, Common::instant sentAt, Common::millis wait, const Dispatch::order_reply&);
     void storeWave(const Capacity::wave_status&, const std::function<void()>& onStored);
     void flush();
     void store(std::vector<Records::keyed_record>, const Dispatch::commit_batch&);
@@ -88,6 +98,8 @@
     /// Empty when instances can't be moved or maintained.
     std::shared_ptr<capacity_controller> m_capacity;
     std::function<void()> m_onLost;
+    order_meter m_orders;
+    leader_load_meter m_load;
     int m_pendingCommits { 0 };
     Common::instant m_commitBeganAt;
     Common::instant m_connectionsCheckedAt;
--- a/Source/Core/ControlPlane/LeadershipManager.h
+++ b/Source/Core/ControlPlane/LeadershipManager.h
@@ -19,6 +19,7 @@
     Records::partition_reader& workerList;
     Records::partition_reader_group& intake;
     counters& eventCounters;
+    const leader_health& health;
 };
 
 struct leadership_options {
@@ -39,6 +40,8 @@
     leadership_manager& operator=(const leadership_manager&) = delete;
 
     void start();
+    /// Load of this instance as leader; null while it doesn't lead.
+    const leader_load* load() const { return m_term ? &m_term->load() : nullptr; }
     /// Releases leadership and makes no further claims.
     void stepDown();
     void setRules(const Rules::fleet_rules&);
--- /dev/null
+++ b/Source/Core/ControlPlane/OrderMeter.h
@@ -0,0 +1,35 @@
+#pragma once
+
+#include "Common/Clock.h"
+
+#include <array>
+
+namespace ControlPlane {
+
+enum class order_kind {
+    Start,
+    Stop,
+    Poll,
+    Pace
+};
+
+/// Counts unanswered orders and measures how long answers take.
+class order_meter {
+public:
+    void sent(order_kind kind) { ++m_inFlight[index(kind)]; }
+    /// An order was answered, or given up, after `time`; the wait that a poll asked for isn't part of it.
+    void answered(order_kind, Common::millis time, bool isAnswered);
+    int inFlight(order_kind kind) const { return m_inFlight[index(kind)]; }
+    /// Longest time to an answer, and orders without one, since the last call.
+    Common::millis takeSlowest();
+    int takeUnanswered();
+
+private:
+    static std::size_t index(order_kind kind) { return static_cast<std::size_t>(kind); }
+
+    std::array<int, 4> m_inFlight {};
+    Common::millis m_slowest { 0 };
+    int m_unanswered { 0 };
+};
+
+}
--- a/Source/Core/Dispatch/Dispatcher.h
+++ b/Source/Core/Dispatch/Dispatcher.h
@@ -81,6 +81,16 @@
     Jobs::resources late;
 };
 
+/// Work that hasn't been ordered yet, and how recent the workers' reports are.
+struct dispatch_backlog {
+    /// Planned starts that haven't been sent.
+    int startsWaiting { 0 };
+    /// Tasks that are ready to start and placed nowhere.
+    int tasksWaiting { 0 };
+    /// Age of the oldest report among workers on which tasks run.
+    Common::millis oldestReport { 0 };
+};
+
 /// How long the leadership is confirmed. Another leader can take over only after `confirmedUntil`. Before it restarts
 /// tasks that it can't see, it waits until the longest lease that may have been granted by then has expired. Until that
 /// time this leader may go on with what it knew at `confirmedUntil`, provided that no lease it grants ends later.
@@ -134,6 +144,7 @@
     bool isFenced() const { return m_isFenced; }
     bool hasJob(const Common::job_id& id) const { return m_jobs.contains(id.value); }
     pool_demand demandOf(const Common::pool_id&, Common::wall_millis wall) const;
+    dispatch_backlog backlog(Common::instant now) const;
     const std::map<Common::worker_id, worker_state>& workers() const { return m_workers; }
     /// Stops long-running tasks of a cordoned worker, and best-effort ones, as far as disruption budgets allow.
     void evictLongRunning(const Common::worker_id&);
--- a/Source/Core/Dispatch/DispatcherPlacements.cpp
+++ b/Source/Core/Dispatch/DispatcherPlacements.cpp
@@ -145,6 +145,27 @@
     });
 }
 
+dispatch_backlog dispatcher::backlog(Common::instant now) const
+{
+    dispatch_backlog backlog { .startsWaiting = static_cast<int>(m_pendingStarts.size()) };
+    for (const auto& [id, job] : m_jobs) {
+        if (Jobs::isFinal(job->state))
+            continue;
+        for (const auto& [number, occurrence] : job->occurrences()) {
+            for (std::size_t step = 0; step < occurrence.steps.size(); ++step) {
+                const auto& state = occurrence.steps[step];
+                if (job->isReady(occurrence, static_cast<int>(step)))
+                    backlog.tasksWaiting += static_cast<int>(state.tasks.size()) - state.done - state.placed;
+            }
+        }
+    }
+    for (const auto& [id, worker] : m_workers) {
+        if (!worker.runs.empty() && worker.hasReported)
+            backlog.oldestReport = std::max(backlog.oldestReport, Common::elapsed(worker.reportedAt, now));
+    }
+    return backlog;
+}
+
 void dispatcher::inherit(open_job& job, const Jobs::task_progress& known, Common::instant now)
 {
     const Jobs::task_name name { job.record().id, known.occurrence, known.step, known.index };
--- a/Source/Core/Dispatch/DispatcherReplies.cpp
+++ b/Source/Core/Dispatch/DispatcherReplies.cpp
@@ -213,6 +213,7 @@
     }
     worker.unansweredPolls = 0;
     worker.hasReported = true;
+    worker.reportedAt = now;
     for (const auto& end : reply.ended) {
         if (end.number <= worker.seenEnd)
             continue;
--- a/Source/Core/Dispatch/WorkerState.h
+++ b/Source/Core/Dispatch/WorkerState.h
@@ -56,6 +56,8 @@
     bool isPollInFlight { false };
     Common::instant firstSeenAt;
     Common::instant nextPollAt;
+    /// When the last answer to a poll arrived.
+    Common::instant reportedAt;
     Common::instant suspectedUntil;
     /// Nothing that this leader or an earlier one ordered there runs after this time.
     Common::instant leaseExpiryBound;
--- a/Source/Core/Records/PartitionReaderGroup.h
+++ b/Source/Core/Records/PartitionReaderGroup.h
@@ -13,6 +13,7 @@
     /// Calls back once all have reached the end by reads that began no earlier than this call, or with false.
     void refresh(Common::millis limit, const std::function<void(bool)>& action);
     bool isLoaded() const;
+    const std::vector<std::shared_ptr<partition_reader>>& readers() const { return m_readers; }
 
 private:
     std::vector<std::shared_ptr<partition_reader>> m_readers;
--- a/Source/UnitTests/Core/ControlPlane/LeaderTermTest.cpp
+++ b/Source/UnitTests/Core/ControlPlane/LeaderTermTest.cpp
@@ -87,7 +87,8 @@
                 .jobRegistry = jobRegistry,
                 .election = *election,
                 .progress = feed,
-                .eventCounters = eventCounters },
+                .eventCounters = eventCounters,
+                .health = health },
             ControlPlane::leader_term_options { .token = { won.token },
                 .number = won.number,
                 .progressTopic = progress,
@@ -125,6 +126,9 @@
     slow_manager manager;
     no_status format;
     ControlPlane::counters eventCounters;
+    ControlPlane::load_monitor load;
+    ControlPlane::view_monitor views { timers };
+    ControlPlane::leader_health health { .load = load, .views = views };
     Jobs::job_registry jobRegistry;
     ControlPlane::progress_feed feed { jobRegistry };
     std::shared_ptr<Records::partition_reader> reader = std::make_shared<Records::partition_reader>(
@@ -179,3 +183,21 @@
     s.manager.open[0](Capacity::instance_outcome::Done);
     CHECK_FALSE(s.term->hasOpenOrders());
 }
+
+TEST_CASE("A leader measures its load once a second", "[station]")
+{
+    term_fixture s;
+    s.views.add(ControlPlane::view_kind::Rules, s.reader);
+    s.startDispatching();
+    s.timers.advance(Common::millis(500));
+    CHECK(s.term->load().interval == Common::millis(0));
+    s.accept("j");
+    s.timers.advance(Common::millis(700));
+    const auto load = s.term->load();
+    CHECK(load.interval >= Common::millis(1000));
+    CHECK(load.worstLag == Common::millis(0));
+    CHECK(load.slowestAnswer == Common::millis(2));
+    CHECK(load.startsInFlight == 0);
+    CHECK(load.backlog.tasksWaiting == 0);
+    CHECK(load.rulesAge);
+}
--- a/Source/UnitTests/Core/Explorer/ClusterSimulation.cpp
+++ b/Source/UnitTests/Core/Explorer/ClusterSimulation.cpp
@@ -52,6 +52,8 @@
         m_workerList = startReader(workerPartition, 400, m_nullSink);
         m_intake = std::make_unique<Records::partition_reader_group>(
             std::vector { startReader(intakePartition, static_cast<int>(ControlPlane::leadership_manager::standbyIntakeInterval.count()), m_intakeFeed) });
+        m_views.add(ControlPlane::view_kind::Registrations, m_workerList);
+        m_views.add(ControlPlane::view_kind::Intake, m_intake->readers().front());
         m_leadership = std::make_unique<ControlPlane::leadership_manager>(ControlPlane::leadership_parts { .store = *this,
                                                                               .timers = *this,
                                                                               .workers = *this,
@@ -61,7 +63,8 @@
                                                                               .progress = *m_progress,
                                                                               .workerList = *m_workerList,
                                                                               .intake = *m_intake,
-                                                                              .eventCounters = m_eventCounters },
+                                                                              .eventCounters = m_eventCounters,
+                                                                              .health = m_health },
             ControlPlane::leadership_options { .member = m_member, .progressTopic = progressPartition });
         m_leadership->setRules(m_simulation.rules());
         for (const auto& entry : m_simulation.workerEntries())
@@ -194,6 +197,9 @@
     null_sink m_nullSink;
     null_operator_format m_format;
     ControlPlane::counters m_eventCounters;
+    ControlPlane::load_monitor m_load;
+    ControlPlane::view_monitor m_views { *this };
+    ControlPlane::leader_health m_health { .load = m_load, .views = m_views };
     Jobs::job_registry m_jobs;
     ControlPlane::intake_feed m_intakeFeed { m_jobs, *this };
     ControlPlane::progress_feed m_progressFeed { m_jobs };
