Claim leadership only when a term can be started

At a start, the first term ended after about 1 s.

A candidate checked only that it had read the progress topic. It now claims only when it has rules and has read the workers and jobs too; otherwise it logs `claim_deferred` with the reason, and others claim.

The store in memory can now leave reads of a partition unanswered as well as appends.

--- a/Source/Core/ControlPlane/LeaderElection.cpp
+++ b/Source/Core/ControlPlane/LeaderElection.cpp
@@ -19,6 +19,21 @@
     /// Share of the leader timeout for which a record confirms leadership; the rest covers clock differences.
     constexpr double confirmedShare = 0.85;
 
+    const char* toText(term_obstacle obstacle)
+    {
+        switch (obstacle) {
+        case term_obstacle::NoRules:
+            return "no_rules";
+        case term_obstacle::WorkersNotRead:
+            return "workers_not_read";
+        case term_obstacle::JobsNotRead:
+            return "jobs_not_read";
+        case term_obstacle::None:
+            break;
+        }
+        return "none";
+    }
+
 }
 
 leader_election::leader_election(Records::record_store& store, Records::timer_service& timers,
@@ -32,9 +47,11 @@
 {
 }
 
-void leader_election::start(std::function<void(won_election)> onElected)
+void leader_election::start(
+    std::function<void(won_election)> onElected, std::function<term_obstacle()> findObstacle)
 {
     m_onElected = std::move(onElected);
+    m_findObstacle = std::move(findObstacle);
     watch();
 }
 
@@ -59,6 +76,16 @@
 
 bool leader_election::isVacant() const { return m_feed.released() >= m_feed.claim().number; }
 
+bool leader_election::canStartTerm()
+{
+    const auto obstacle = m_findObstacle ? m_findObstacle() : term_obstacle::None;
+    if (obstacle != m_loggedObstacle && obstacle != term_obstacle::None)
+        Common::writeEvent(Common::log_level::Info, Common::log_category::Membership, "claim_deferred",
+            { { "reason", toText(obstacle) }, { "number", std::to_string(m_feed.claim().number + 1) } });
+    m_loggedObstacle = obstacle;
+    return obstacle == term_obstacle::None;
+}
+
 void leader_election::watch()
 {
     if (m_hasWithdrawn)
@@ -76,7 +103,8 @@
     const Common::millis stagger { static_cast<std::int64_t>(
         Common::rendezvousRank(m_options.member, std::to_string(m_feed.claim().number)) % maxStaggerMillis) };
     const auto quiet = now - m_quietSince;
-    if (isVacant() ? quiet >= stagger : m_isProbed && quiet >= leaderTimeout + stagger)
+    const bool isDue = isVacant() ? quiet >= stagger : m_isProbed && quiet >= leaderTimeout + stagger;
+    if (isDue && canStartTerm())
         claim();
     else if (!m_isProbed && !m_isProbing && quiet >= probeDelay)
         probe();
--- a/Source/Core/ControlPlane/LeaderElection.h
+++ b/Source/Core/ControlPlane/LeaderElection.h
@@ -15,6 +15,14 @@
     std::string writer;
 };
 
+/// Why a candidate can't start a term yet.
+enum class term_obstacle {
+    None,
+    NoRules,
+    WorkersNotRead,
+    JobsNotRead
+};
+
 /// A term won by a claim.
 struct won_election {
     std::int64_t token { 0 };
@@ -28,7 +36,8 @@
     leader_election(Records::record_store&, Records::timer_service&, const election_options&,
         Records::partition_reader& progress, const progress_feed& feed);
 
-    void start(std::function<void(won_election)> onElected);
+    /// `findObstacle` is asked before each claim; without it, a term can always be started.
+    void start(std::function<void(won_election)> onElected, std::function<term_obstacle()> findObstacle = {});
     /// A record of this term is stored, by an append that began at `began`: for some time after `began`, no other
     /// candidate can claim leadership.
     void confirm(Common::instant began);
@@ -47,6 +56,8 @@
 
     void watch();
     bool isVacant() const;
+    /// Whether a term could be started now; logs an obstacle when it changes.
+    bool canStartTerm();
     void probe();
     void claim();
     void sendClaim();
@@ -60,6 +71,8 @@
     Records::partition_reader& m_progress;
     const progress_feed& m_feed;
     std::function<void(won_election)> m_onElected;
+    std::function<term_obstacle()> m_findObstacle;
+    term_obstacle m_loggedObstacle { term_obstacle::None };
     election_state m_state { election_state::Standby };
     bool m_hasWithdrawn { false };
     bool m_isProbing { false };
--- a/Source/Core/ControlPlane/LeadershipManager.cpp
+++ b/Source/Core/ControlPlane/LeadershipManager.cpp
@@ -37,7 +37,16 @@
 
 void leadership_manager::start()
 {
-    m_election->start([this](const won_election& won) { onElected(won); });
+    m_election->start([this](const won_election& won) { onElected(won); }, [this] { return findObstacle(); });
+}
+
+term_obstacle leadership_manager::findObstacle() const
+{
+    if (!m_rules)
+        return term_obstacle::NoRules;
+    if (!m_parts.workerList.isLoaded())
+        return term_obstacle::WorkersNotRead;
+    return m_parts.intake.isLoaded() ? term_obstacle::None : term_obstacle::JobsNotRead;
 }
 
 void leadership_manager::stepDown()
--- a/Source/Core/ControlPlane/LeadershipManager.h
+++ b/Source/Core/ControlPlane/LeadershipManager.h
@@ -58,6 +58,7 @@
         Common::instant seenAt;
     };
 
+    term_obstacle findObstacle() const;
     void onElected(const won_election&);
     void readJobs(const std::shared_ptr<leader_term>&, bool areWorkersRead);
     void startDispatching(leader_term&);
--- /dev/null
+++ b/Source/UnitTests/Core/ControlPlane/LeadershipFixture.h
@@ -0,0 +1,182 @@
+#pragma once
+
+#include "../Records/FakeStore.h"
+#include "ControlPlane/LeadershipManager.h"
+
+/// A worker without tasks that answers polls, unless it is unresponsive.
+struct idle_worker : Dispatch::worker_gateway {
+    explicit idle_worker(manual_timers& owner)
+        : timers(owner)
+    {
+    }
+
+    static Dispatch::order_reply done()
+    {
+        return { .outcome = Dispatch::order_outcome::Done,
+            .clock = Dispatch::worker_millis { 5000 },
+            .incarnationStartedAt = Common::wall_millis { 1 } };
+    }
+
+    void start(const Dispatch::start_order&, Dispatch::fencing_token, Common::millis, reply_handler handler) override
+    {
+        timers.after(Common::millis(2), [handler] { handler(done()); });
+    }
+    void stop(const Dispatch::stop_order&, Dispatch::fencing_token, Common::millis, reply_handler) override { }
+    void pace(const Dispatch::pace_order&, Dispatch::fencing_token, Common::millis, reply_handler) override { }
+    void poll(const Dispatch::poll_order&, Dispatch::fencing_token, Common::millis timeout,
+        std::function<void(Dispatch::poll_order_reply)> handler) override
+    {
+        if (isUnresponsive)
+            timers.after(timeout, [handler] { handler({}); });
+        else
+            timers.after(Common::millis(2), [handler] { handler({ .base = done() }); });
+    }
+    void keepOnly(const std::vector<Common::worker_id>&) override { }
+
+    manual_timers& timers;
+    bool isUnresponsive { false };
+};
+
+/// Instances with the production readers and leadership managers, on one store in memory and one virtual clock.
+struct leadership_fixture {
+    struct null_format : ControlPlane::operator_format {
+        Records::keyed_record waveStatus(std::int64_t, bool) const override { return {}; }
+    };
+
+    struct null_sink : Records::record_sink {
+        void reset() override { }
+        void apply(const Records::keyed_record&) override { }
+    };
+
+    struct instance;
+
+    static Records::topic_partition progress() { return { "keyed.progress", 0 }; }
+
+    static Rules::fleet_rules rules()
+    {
+        Rules::fleet_rules result;
+        result.version = 1;
+        result.pools = { { .id = { "pool" }, .checksCapacity = true } };
+        return result;
+    }
+
+    static Dispatch::worker_entry worker()
+    {
+        return { .id = { "w" },
+            .pool = { "pool" },
+            .address = { "127.0.0.1", 1 },
+            .capacity = { .processor = { 8000 }, .memory = { 1000 } },
+            .incarnationStartedAt = { 1 } };
+    }
+
+    /// Claims in the log, oldest first.
+    std::vector<std::string> claimers()
+    {
+        std::vector<std::string> members;
+        for (const auto& record : store.partitions[progress()].records) {
+            ControlPlane::progress_feed feed(unusedRegistry);
+            feed.apply(record);
+            if (!feed.claim().member.empty())
+                members.push_back(feed.claim().member);
+        }
+        return members;
+    }
+
+    manual_timers timers;
+    fake_store store { timers };
+    idle_worker gateway { timers };
+    null_format format;
+    Jobs::job_registry unusedRegistry;
+};
+
+struct leadership_fixture::instance : ControlPlane::job_listener, Records::timer_service, Records::record_store {
+    instance(leadership_fixture& owner, const ControlPlane::leadership_options& options)
+        : fixture(owner)
+    {
+        progressReader = startReader(progress(), Common::millis(200), progressFeed);
+        workerList = startReader({ "keyed.workers", 0 }, Common::millis(400), nullSink);
+        intake = std::make_unique<Records::partition_reader_group>(std::vector { startReader(
+            { "keyed.intake", 0 }, ControlPlane::leadership_manager::standbyIntakeInterval, intakeFeed) });
+        manager = std::make_unique<ControlPlane::leadership_manager>(
+            ControlPlane::leadership_parts { .store = *this,
+                .timers = *this,
+                .workers = owner.gateway,
+                .operatorFormat = owner.format,
+                .jobRegistry = jobRegistry,
+                .progressFeed = progressFeed,
+                .progress = *progressReader,
+                .workerList = *workerList,
+                .intake = *intake,
+                .eventCounters = eventCounters },
+            options);
+        manager->workerRegistered(worker());
+        manager->start();
+    }
+    ~instance() override { kill(); }
+    instance(const instance&) = delete;
+    instance& operator=(const instance&) = delete;
+
+    /// Its timers and calls have no effect any more.
+    void kill() { *isAlive = false; }
+
+    std::shared_ptr<Records::partition_reader> startReader(
+        const Records::topic_partition& partition, Common::millis readInterval, Records::record_sink& sink)
+    {
+        auto reader = std::make_shared<Records::partition_reader>(*this, *this,
+            Records::partition_reader_options { .partition = partition, .interval = readInterval }, sink);
+        reader->start();
+        return reader;
+    }
+
+    void jobAccepted(const Common::job_id&) override { }
+    void jobCancelled(const Common::job_id&) override { }
+
+    void after(Common::millis delay, std::function<void()> action) override
+    {
+        fixture.timers.after(delay, [alive = isAlive, action = std::move(action)] {
+            if (*alive)
+                action();
+        });
+    }
+    Common::instant now() const override { return fixture.timers.now(); }
+
+    template <typename Handler>
+    auto whileAlive(Handler handler)
+    {
+        return [alive = isAlive, handler = std::move(handler)](const auto& result) {
+            if (*alive)
+                handler(result);
+        };
+    }
+
+    void append(const Records::append_request& request, Common::millis timeout,
+        std::function<void(Records::append_result)> handler) override
+    {
+        if (*isAlive)
+            fixture.store.append(request, timeout, whileAlive(std::move(handler)));
+    }
+    void read(const Records::topic_partition& source, Common::log_offset from, Common::millis wait, Common::millis timeout,
+        std::function<void(Records::read_result)> handler) override
+    {
+        if (*isAlive)
+            fixture.store.read(source, from, wait, timeout, whileAlive(std::move(handler)));
+    }
+    void newest(const Records::topic_partition& source, const std::string& afterKey, Common::millis timeout,
+        std::function<void(Records::newest_result)> handler) override
+    {
+        if (*isAlive)
+            fixture.store.newest(source, afterKey, timeout, whileAlive(std::move(handler)));
+    }
+
+    leadership_fixture& fixture;
+    std::shared_ptr<bool> isAlive = std::make_shared<bool>(true);
+    null_sink nullSink;
+    Jobs::job_registry jobRegistry;
+    ControlPlane::counters eventCounters;
+    ControlPlane::intake_feed intakeFeed { jobRegistry, *this };
+    ControlPlane::progress_feed progressFeed { jobRegistry };
+    std::shared_ptr<Records::partition_reader> progressReader;
+    std::shared_ptr<Records::partition_reader> workerList;
+    std::unique_ptr<Records::partition_reader_group> intake;
+    std::unique_ptr<ControlPlane::leadership_manager> manager;
+};
--- a/Source/UnitTests/Core/Records/FakeStore.h
+++ b/Source/UnitTests/Core/Records/FakeStore.h
@@ -82,6 +82,10 @@
         Common::millis timeout, std::function<void(Records::read_result)> handler) override
     {
         ++reads;
+        if (silentPartitions.contains(topicPartition)) {
+            timers.after(timeout, [handler] { handler({}); });
+            return;
+        }
         const auto readRecords = [this, topicPartition, from] { return readNow(topicPartition, from); };
         const bool isEmpty = partitions[topicPartition].end() <= from.value;
         const auto delay = isEmpty && wait.count() > 0 ? wait : Common::millis(0);
@@ -94,6 +98,10 @@
         std::function<void(Records::newest_result)> handler) override
     {
         ++listings;
+        if (silentPartitions.contains(topicPartition)) {
+            timers.after(timeout, [handler] { handler({}); });
+            return;
+        }
         const auto listRecords = [this, topicPartition, afterKey] {
             Records::newest_result result { .isRead = true, .end = { partitions[topicPartition].end() } };
             for (const auto& [key, record] : partitions[topicPartition].newest) {
@@ -204,7 +212,7 @@
     Common::millis delay { 4 };
     std::size_t pageSize { 500 };
     std::map<Records::topic_partition, partition> partitions;
-    /// Appends to these are neither executed nor answered.
+    /// Calls about these are neither executed nor answered.
     std::set<Records::topic_partition> silentPartitions;
     int appends { 0 };
     int reads { 0 };
