Let instances with more room claim leadership first

On the grown deployments whoever claimed first led: an accident of the start and of each takeover.

The capacity of an instance (share of a core, cores, link) is decoded from its settings. A candidate leaves a vacant leadership to others for up to 0.5 s; the delay falls with its room in relation to that of the previous leader, which the claim record names. Alike instances have no delay. `leadership_claimed` has the reason and the capacity.

Tests: "A small instance doesn't claim leadership before a large one that sees it vacant" (first start, failed leader, released leadership) failed before, with the delay at 0; "Takeover among small instances isn't slower than among large ones" guards the other side.

--- a/Source/Core/ControlPlane/EntryNode.cpp
+++ b/Source/Core/ControlPlane/EntryNode.cpp
@@ -101,6 +101,7 @@
                                                             .intake = *m_intake,
                                                             .eventCounters = m_eventCounters },
         leadership_options { .member = m_member,
+            .capacity = m_settings.capacity,
             .progressTopic = m_parts.topics.progress,
             .statusTopic = m_parts.topics.status,
             .stopTime = m_settings.stopTime });
--- a/Source/Core/ControlPlane/EntryNodeSettings.h
+++ b/Source/Core/ControlPlane/EntryNodeSettings.h
@@ -1,7 +1,7 @@
 #pragma once
 
-#include "Common/Clock.h"
 #include "Common/Endpoint.h"
+#include "ControlPlane/LeaderCapacity.h"
 
 #include <optional>
 #include <string>
@@ -20,6 +20,7 @@
     Common::endpoint store;
     /// Instance manager; empty when there is none.
     std::optional<Common::endpoint> instanceManager;
+    instance_capacity capacity;
     /// Time from the stop signal to the end of the process.
     Common::millis stopGrace { 6000 };
     /// Longest time that a worker takes to stop a task.
--- a/Source/Core/ControlPlane/JobFeeds.cpp
+++ b/Source/Core/ControlPlane/JobFeeds.cpp
@@ -23,6 +23,19 @@
             { { "what", what }, { "key", record.key }, { "offset", std::to_string(record.offset.value) } });
     }
 
+    void writeCapacity(Common::json& object, const instance_capacity& capacity)
+    {
+        object["millicores"] = capacity.processor.value;
+        object["megabits"] = capacity.link.value;
+    }
+
+    instance_capacity readCapacity(const Common::json& object)
+    {
+        const instance_capacity unknown;
+        return { .processor = { object.value("millicores", unknown.processor.value) },
+            .link = { object.value("megabits", unknown.link.value) } };
+    }
+
     std::optional<Capacity::wave_status> decodeWave(const std::string& value)
     {
         const auto parsed = Common::parseJson(value);
@@ -56,8 +69,9 @@
 
 Records::keyed_record claimRecord(const claim_record& claim)
 {
-    return { .key = claimKey,
-        .value = Common::writeJson({ { "member", claim.member }, { "number", claim.number } }) };
+    Common::json object { { "member", claim.member }, { "number", claim.number } };
+    writeCapacity(object, claim.capacity);
+    return { .key = claimKey, .value = Common::writeJson(object) };
 }
 
 Records::keyed_record heartbeatRecord(std::int64_t number)
@@ -118,7 +132,8 @@
         const auto claim = Common::parseJson(record.value);
         if (claim && claim->is_object())
             m_claim = { .member = claim->value("member", std::string()),
-                .number = claim->value("number", std::int64_t { 0 }) };
+                .number = claim->value("number", std::int64_t { 0 }),
+                .capacity = readCapacity(*claim) };
         return;
     }
     if (record.key == releaseKey) {
--- a/Source/Core/ControlPlane/JobFeeds.h
+++ b/Source/Core/ControlPlane/JobFeeds.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "Capacity/WavePlanner.h"
+#include "ControlPlane/LeaderCapacity.h"
 #include "Jobs/JobRegistry.h"
 #include "Records/PartitionReader.h"
 
@@ -10,6 +11,8 @@
 struct claim_record {
     std::string member;
     std::int64_t number { 0 };
+    /// Capacity of the claimer's instance.
+    instance_capacity capacity;
 };
 
 /// Records of the intake and progress topics.
--- a/Source/Core/ControlPlane/LeaderElection.cpp
+++ b/Source/Core/ControlPlane/LeaderElection.cpp
@@ -86,6 +86,14 @@
     return obstacle == term_obstacle::None;
 }
 
+Common::millis leader_election::claimAfter() const
+{
+    const Common::millis stagger { static_cast<std::int64_t>(
+        Common::rendezvousRank(m_options.member, std::to_string(m_feed.claim().number)) % maxStaggerMillis) };
+    const auto delay = stagger + claimDelay(roomOf(m_options.capacity), roomOf(m_feed.claim().capacity));
+    return isVacant() ? delay : leaderTimeout + delay;
+}
+
 void leader_election::watch()
 {
     if (m_hasWithdrawn)
@@ -100,10 +108,8 @@
         m_quietSince = now;
         m_isProbed = false;
     }
-    const Common::millis stagger { static_cast<std::int64_t>(
-        Common::rendezvousRank(m_options.member, std::to_string(m_feed.claim().number)) % maxStaggerMillis) };
     const auto quiet = now - m_quietSince;
-    const bool isDue = isVacant() ? quiet >= stagger : m_isProbed && quiet >= leaderTimeout + stagger;
+    const bool isDue = quiet >= claimAfter() && (isVacant() || m_isProbed);
     if (isDue && canStartTerm())
         claim();
     else if (!m_isProbed && !m_isProbing && quiet >= probeDelay)
@@ -124,6 +130,7 @@
 void leader_election::claim()
 {
     m_state = election_state::Claiming;
+    m_claimReason = isVacant() ? (m_feed.claim().number == 0 ? "first_term" : "released") : "leader_silent";
     // The claim is stored only if the partition still ends where this instance has read to, so that no record of an
     // earlier leader is missed.
     m_progress.refresh(claimTimeout, [self = shared_from_this()](bool isRead) {
@@ -143,7 +150,7 @@
     const auto number = m_feed.claim().number + 1;
     const auto began = m_timers.now();
     const Records::append_request request { .partition = m_options.progressTopic,
-        .records = { claimRecord({ .member = m_options.member, .number = number }) },
+        .records = { claimRecord({ .member = m_options.member, .number = number, .capacity = m_options.capacity }) },
         .expectedEnd = at,
         .position = Records::writer_position { .writer = m_options.writer, .epoch = at.value + 1, .sequence = 0 } };
     m_store.append(request, claimTimeout, [self = shared_from_this(), at, number, began](const auto& result) {
@@ -180,7 +187,9 @@
     m_confirmedUntil = {};
     confirm(began);
     Common::writeEvent(Common::log_level::Info, Common::log_category::Membership, "leadership_claimed",
-        { { "token", std::to_string(won.token) }, { "number", std::to_string(won.number) } });
+        { { "token", std::to_string(won.token) }, { "number", std::to_string(won.number) },
+            { "reason", m_claimReason }, { "millicores", std::to_string(m_options.capacity.processor.value) },
+            { "megabits", std::to_string(m_options.capacity.link.value) } });
     m_onElected(won);
 }
 
--- a/Source/Core/ControlPlane/LeaderElection.h
+++ b/Source/Core/ControlPlane/LeaderElection.h
@@ -10,6 +10,8 @@
 struct election_options {
     /// Unique to each start of the process.
     std::string member;
+    /// Candidates with more room claim sooner.
+    instance_capacity capacity;
     Records::topic_partition progressTopic;
     /// Writer name that all leaders use.
     std::string writer;
@@ -56,6 +58,8 @@
 
     void watch();
     bool isVacant() const;
+    /// Time without records of the leader after which this candidate claims.
+    Common::millis claimAfter() const;
     /// Whether a term could be started now; logs an obstacle when it changes.
     bool canStartTerm();
     void probe();
@@ -74,6 +78,7 @@
     std::function<term_obstacle()> m_findObstacle;
     term_obstacle m_loggedObstacle { term_obstacle::None };
     election_state m_state { election_state::Standby };
+    const char* m_claimReason { "" };
     bool m_hasWithdrawn { false };
     bool m_isProbing { false };
     /// The store has confirmed that nothing new was stored since `m_quietSince`.
--- a/Source/Core/ControlPlane/LeadershipManager.cpp
+++ b/Source/Core/ControlPlane/LeadershipManager.cpp
@@ -24,7 +24,10 @@
     : m_parts(parts)
     , m_options(options)
     , m_election(std::make_shared<leader_election>(parts.store, parts.timers,
-          election_options { .member = options.member, .progressTopic = options.progressTopic, .writer = leaderWriter },
+          election_options { .member = options.member,
+              .capacity = options.capacity,
+              .progressTopic = options.progressTopic,
+              .writer = leaderWriter },
           parts.progress, parts.progressFeed))
 {
 }
--- a/Source/Core/ControlPlane/LeadershipManager.h
+++ b/Source/Core/ControlPlane/LeadershipManager.h
@@ -24,6 +24,7 @@
 struct leadership_options {
     /// Unique to each start of the process.
     std::string member;
+    instance_capacity capacity;
     Records::topic_partition progressTopic;
     Records::topic_partition statusTopic;
     /// Longest time that a worker takes to stop a task.
--- a/Source/UnitTests/Core/ControlPlane/LeaderElectionTest.cpp
+++ b/Source/UnitTests/Core/ControlPlane/LeaderElectionTest.cpp
@@ -8,15 +8,17 @@
 const Records::topic_partition progress { "keyed.progress", 0 };
 
 struct candidate {
-    candidate(fake_store& records, manual_timers& owner, const std::string& member)
+    candidate(fake_store& records, manual_timers& owner, const std::string& member,
+        const ControlPlane::instance_capacity& capacity = {})
         : store(records)
         , timers(owner)
         , feed(jobRegistry)
         , reader(std::make_shared<Records::partition_reader>(store, timers,
               Records::partition_reader_options { .partition = progress, .interval = Common::millis(100) }, feed))
         , election(std::make_shared<ControlPlane::leader_election>(store, timers,
-              ControlPlane::election_options { .member = member, .progressTopic = progress, .writer = "holder" }, *reader,
-              feed))
+              ControlPlane::election_options {
+                  .member = member, .capacity = capacity, .progressTopic = progress, .writer = "holder" },
+              *reader, feed))
     {
         reader->start();
         election->start([this](const ControlPlane::won_election& won) { wins.push_back(won); });
@@ -45,6 +47,58 @@
     std::int64_t heartbeats { 0 };
 };
 
+constexpr ControlPlane::instance_capacity largeCapacity { .processor = { 500 }, .link = { 200 } };
+constexpr ControlPlane::instance_capacity smallCapacity { .processor = { 120 }, .link = { 10 } };
+
+/// Small candidates that leave the choice to a test of which larger ones there are.
+struct mixed_fixture {
+    mixed_fixture()
+    {
+        for (int index = 0; index < 20; ++index)
+            add("small-" + std::to_string(index), smallCapacity);
+    }
+
+    void add(const std::string& member, const ControlPlane::instance_capacity& capacity)
+    {
+        all.push_back(std::make_unique<candidate>(store, timers, member, capacity));
+    }
+
+    /// Starts the election, with the leader's heartbeats, and returns the elected member; empty for none.
+    std::string elect(Common::millis limit)
+    {
+        const auto until = timers.now() + limit;
+        leader = nullptr;
+        while (!leader && timers.now() < until) {
+            timers.advance(Common::millis(10));
+            for (const auto& each : all) {
+                if (each->election->status().isHeld)
+                    leader = each.get();
+            }
+        }
+        return leader ? leader->feed.claim().member : std::string();
+    }
+
+    void heartbeatFor(Common::millis time)
+    {
+        for (Common::millis past { 0 }; past < time; past += Common::millis(100)) {
+            leader->heartbeat();
+            timers.advance(Common::millis(100));
+        }
+    }
+
+    /// The leader sends nothing more and makes no claims.
+    void failLeader()
+    {
+        leader->election->withdraw();
+        leader->election->returnToStandby();
+    }
+
+    manual_timers timers;
+    fake_store store { timers };
+    std::vector<std::unique_ptr<candidate>> all;
+    candidate* leader { nullptr };
+};
+
 struct election_fixture {
     election_fixture() { timers.advance(Common::millis(500)); }
 
@@ -139,3 +193,80 @@
     CHECK(s.other().wins.empty());
     CHECK(s.leader().election->status().isConfirmed(s.timers.now()));
 }
+
+TEST_CASE("A small instance doesn't claim leadership before a large one that sees it vacant", "[station]")
+{
+    mixed_fixture s;
+
+    SECTION("At the first start, although the large one started later")
+    {
+        s.timers.advance(Common::millis(200));
+        s.add("large", largeCapacity);
+        CHECK(s.elect(Common::millis(2000)) == "large");
+        CHECK(s.leader->feed.claim().capacity == largeCapacity);
+    }
+    SECTION("When a large leader fails, again and again")
+    {
+        for (int index = 0; index < 5; ++index)
+            s.add("large-" + std::to_string(index), largeCapacity);
+        for (int term = 0; term < 5; ++term) {
+            CHECK(s.elect(Common::millis(2000)).starts_with("large"));
+            s.heartbeatFor(Common::millis(1000 + 70 * term));
+            s.failLeader();
+        }
+    }
+    SECTION("When a large leader has released leadership")
+    {
+        s.add("large-0", largeCapacity);
+        s.add("large-1", largeCapacity);
+        s.elect(Common::millis(2000));
+        s.heartbeatFor(Common::millis(1000));
+        s.failLeader();
+        s.store.put(progress, "@released", R"({"number":1})");
+        CHECK(s.elect(Common::millis(600)).starts_with("large"));
+    }
+}
+
+TEST_CASE("Takeover among small instances isn't slower than among large ones", "[station]")
+{
+    mixed_fixture s;
+    REQUIRE_FALSE(s.elect(Common::millis(1000)).empty());
+    s.heartbeatFor(Common::millis(1000));
+    s.failLeader();
+    CHECK_FALSE(s.elect(Common::millis(1000)).empty());
+}
+
+TEST_CASE("Small instances take over within 1.5 s when no large one is left", "[station]")
+{
+    mixed_fixture s;
+    s.add("large", largeCapacity);
+    REQUIRE(s.elect(Common::millis(2000)) == "large");
+    s.heartbeatFor(Common::millis(1000));
+    s.failLeader();
+    CHECK_FALSE(s.elect(Common::millis(1500)).empty());
+}
+
+TEST_CASE("The delay of a claim falls as the room of the instance rises", "[station]")
+{
+    using ControlPlane::leader_room;
+    const leader_room reference { 1000 };
+    auto previous = ControlPlane::claimDelay({ 0 }, reference);
+    CHECK(previous == Common::millis(500));
+    for (std::int64_t room = 100; room <= 1000; room += 100) {
+        const auto delay = ControlPlane::claimDelay({ room }, reference);
+        CHECK(delay < previous);
+        previous = delay;
+    }
+    CHECK(previous == Common::millis(0));
+    CHECK(ControlPlane::claimDelay({ 1000 }, { 200 }) == Common::millis(0));
+    CHECK(ControlPlane::claimDelay({ 0 }, { 0 }) == Common::millis(0));
+}
+
+TEST_CASE("The scarcer of processor and link decides how much room an instance has", "[station]")
+{
+    using ControlPlane::roomOf;
+    CHECK(roomOf({}) == roomOf(largeCapacity));
+    CHECK(roomOf({ .processor = { 500 }, .link = { 10 } }) == roomOf({ .processor = { 50 }, .link = { 100 } }));
+    CHECK(roomOf(smallCapacity) < roomOf({ .processor = { 250 }, .link = { 1000 } }));
+    CHECK(roomOf({ .processor = { -1 }, .link = { 0 } }).value == 0);
+}
--- a/Source/UnitTests/Platform/DecodeTest.cpp
+++ b/Source/UnitTests/Platform/DecodeTest.cpp
@@ -76,6 +76,13 @@
     CHECK(result.settings->stopGrace == std::chrono::seconds(6));
     CHECK_FALSE(result.settings->instanceManager);
     CHECK(result.settings->metrics->port == 7000);
+    CHECK(result.settings->capacity == ControlPlane::instance_capacity());
+    const auto limited = Platform::parseNodeSettings(complete + "[limits]\ncpuShare = 0.12\ncores = 2\nlinkMbps = 10.0\n");
+    REQUIRE(limited.settings);
+    CHECK(limited.settings->capacity == ControlPlane::instance_capacity { .processor = { 240 }, .link = { 10 } });
+    const auto invalid = Platform::parseNodeSettings(complete + "[limits]\ncpuShare = \"all\"\nlinkMbps = -1\n");
+    REQUIRE(invalid.settings);
+    CHECK(invalid.settings->capacity == ControlPlane::instance_capacity());
     const auto incomplete = Platform::parseNodeSettings("node = \"n\"\n");
     CHECK_FALSE(incomplete.settings);
     CHECK(incomplete.subject == "listen.front");
