--- a/Source/Core/ControlPlane/EntryNode.cpp
+++ b/Source/Core/ControlPlane/EntryNode.cpp
@@ -111,6 +111,7 @@
                                                             .eventCounters = m_eventCounters,
                                                             .health = *m_health },
         leadership_options { .member = m_member,
+            .capacity = m_settings.capacity,
             .progressTopic = m_parts.topics.progress,
             .statusTopic = m_parts.topics.status,
             .stopTime = m_settings.stopTime });
--- a/Source/Core/ControlPlane/LeaderElection.cpp
+++ b/Source/Core/ControlPlane/LeaderElection.cpp
@@ -19,6 +19,21 @@
     /// Share of the leader timeout for which a record confirms leadership; the rest covers clock differences.
     constexpr double confirmedShare = 0.85;
 
+    const char* toText(term_obstacle obstacle)
+    {
+        switch (obstacle) {
+        case term_obstacle::NoRules:
+            return "no_rules";
+        case term_obstacle::WorkersNotRead:
+            return "workers_not_read";
+        case term_obstacle::JobsNotRead:
+            return "jobs_not_read";
+        case term_obstacle::None:
+            break;
+        }
+        return "none";
+    }
+
 }
 
 leader_election::leader_election(Records::record_store& store, Records::timer_service& timers,
@@ -32,9 +47,11 @@
 {
 }
 
-void leader_election::start(std::function<void(won_election)> onElected)
+void leader_election::start(
+    std::function<void(won_election)> onElected, std::function<term_obstacle()> findObstacle)
 {
     m_onElected = std::move(onElected);
+    m_findObstacle = std::move(findObstacle);
     watch();
 }
 
@@ -59,6 +76,24 @@
 
 bool leader_election::isVacant() const { return m_feed.released() >= m_feed.claim().number; }
 
+bool leader_election::canStartTerm()
+{
+    const auto obstacle = m_findObstacle ? m_findObstacle() : term_obstacle::None;
+    if (obstacle != m_loggedObstacle && obstacle != term_obstacle::None)
+        Common::writeEvent(Common::log_level::Info, Common::log_category::Membership, "claim_deferred",
+            { { "reason", toText(obstacle) }, { "number", std::to_string(m_feed.claim().number + 1) } });
+    m_loggedObstacle = obstacle;
+    return obstacle == term_obstacle::None;
+}
+
+Common::millis leader_election::claimAfter() const
+{
+    const Common::millis stagger { static_cast<std::int64_t>(
+        Common::rendezvousRank(m_options.member, std::to_string(m_feed.claim().number)) % maxStaggerMillis) };
+    const auto delay = stagger + claimDelay(roomOf(m_options.capacity), roomOf(m_feed.claim().capacity));
+    return isVacant() ? delay : leaderTimeout + delay;
+}
+
 void leader_election::watch()
 {
     if (m_hasWithdrawn)
@@ -73,10 +108,9 @@
         m_quietSince = now;
         m_isProbed = false;
     }
-    const Common::millis stagger { static_cast<std::int64_t>(
-        Common::rendezvousRank(m_options.member, std::to_string(m_feed.claim().number)) % maxStaggerMillis) };
     const auto quiet = now - m_quietSince;
-    if (isVacant() ? quiet >= stagger : m_isProbed && quiet >= leaderTimeout + stagger)
+    const bool isDue = quiet >= claimAfter() && (isVacant() || m_isProbed);
+    if (isDue && canStartTerm())
         claim();
     else if (!m_isProbed && !m_isProbing && quiet >= probeDelay)
         probe();
@@ -96,6 +130,7 @@
 void leader_election::claim()
 {
     m_state = election_state::Claiming;
+    m_claimReason = isVacant() ? (m_feed.claim().number == 0 ? "first_term" : "released") : "leader_silent";
     // The claim is stored only if the partition still ends where this instance has read to, so that no record of an
     // earlier leader is missed.
     m_progress.refresh(claimTimeout, [self = shared_from_this()](bool isRead) {
@@ -115,7 +150,7 @@
     const auto number = m_feed.claim().number + 1;
     const auto began = m_timers.now();
     const Records::append_request request { .partition = m_options.progressTopic,
-        .records = { claimRecord({ .member = m_options.member, .number = number }) },
+        .records = { claimRecord({ .member = m_options.member, .number = number, .capacity = m_options.capacity }) },
         .expectedEnd = at,
         .position = Records::writer_position { .writer = m_options.writer, .epoch = at.value + 1, .sequence = 0 } };
     m_store.append(request, claimTimeout, [self = shared_from_this(), at, number, began](const auto& result) {
@@ -152,7 +187,9 @@
     m_confirmedUntil = {};
     confirm(began);
     Common::writeEvent(Common::log_level::Info, Common::log_category::Membership, "leadership_claimed",
-        { { "token", std::to_string(won.token) }, { "number", std::to_string(won.number) } });
+        { { "token", std::to_string(won.token) }, { "number", std::to_string(won.number) },
+            { "reason", m_claimReason }, { "millicores", std::to_string(m_options.capacity.processor.value) },
+            { "megabits", std::to_string(m_options.capacity.link.value) } });
     m_onElected(won);
 }
 
--- a/Source/Core/ControlPlane/LeaderElection.h
+++ b/Source/Core/ControlPlane/LeaderElection.h
@@ -10,11 +10,21 @@
 struct election_options {
     /// Unique to each start of the process.
     std::string member;
+    /// Candidates with more room claim sooner.
+    instance_capacity capacity;
     Records::topic_partition progressTopic;
     /// Writer name that all leaders use.
     std::string writer;
 };
 
+/// Why a candidate can't start a term yet.
+enum class term_obstacle {
+    None,
+    NoRules,
+    WorkersNotRead,
+    JobsNotRead
+};
+
 /// A term won by a claim.
 struct won_election {
     std::int64_t token { 0 };
@@ -28,7 +38,8 @@
     leader_election(Records::record_store&, Records::timer_service&, const election_options&,
         Records::partition_reader& progress, const progress_feed& feed);
 
-    void start(std::function<void(won_election)> onElected);
+    /// `findObstacle` is asked before each claim; without it, a term can always be started.
+    void start(std::function<void(won_election)> onElected, std::function<term_obstacle()> findObstacle = {});
     /// A record of this term is stored, by an append that began at `began`: for some time after `began`, no other
     /// candidate can claim leadership.
     void confirm(Common::instant began);
@@ -47,6 +58,10 @@
 
     void watch();
     bool isVacant() const;
+    /// Time without records of the leader after which this candidate claims.
+    Common::millis claimAfter() const;
+    /// Whether a term could be started now; logs an obstacle when it changes.
+    bool canStartTerm();
     void probe();
     void claim();
     void sendClaim();
@@ -60,7 +75,10 @@
     Records::partition_reader& m_progress;
     const progress_feed& m_feed;
     std::function<void(won_election)> m_onElected;
+    std::function<term_obstacle()> m_findObstacle;
+    term_obstacle m_loggedObstacle { term_obstacle::None };
     election_state m_state { election_state::Standby };
+    const char* m_claimReason { "" };
     bool m_hasWithdrawn { false };
     bool m_isProbing { false };
     /// The store has confirmed that nothing new was stored since `m_quietSince`.
--- a/Source/Core/ControlPlane/LeadershipManager.cpp
+++ b/Source/Core/ControlPlane/LeadershipManager.cpp
@@ -24,7 +24,10 @@
     : m_parts(parts)
     , m_options(options)
     , m_election(std::make_shared<leader_election>(parts.store, parts.timers,
-          election_options { .member = options.member, .progressTopic = options.progressTopic, .writer = leaderWriter },
+          election_options { .member = options.member,
+              .capacity = options.capacity,
+              .progressTopic = options.progressTopic,
+              .writer = leaderWriter },
           parts.progress, parts.progressFeed))
 {
 }
@@ -37,7 +40,16 @@
 
 void leadership_manager::start()
 {
-    m_election->start([this](const won_election& won) { onElected(won); });
+    m_election->start([this](const won_election& won) { onElected(won); }, [this] { return findObstacle(); });
+}
+
+term_obstacle leadership_manager::findObstacle() const
+{
+    if (!m_rules)
+        return term_obstacle::NoRules;
+    if (!m_parts.workerList.isLoaded())
+        return term_obstacle::WorkersNotRead;
+    return m_parts.intake.isLoaded() ? term_obstacle::None : term_obstacle::JobsNotRead;
 }
 
 void leadership_manager::stepDown()
--- a/Source/Core/ControlPlane/LeadershipManager.h
+++ b/Source/Core/ControlPlane/LeadershipManager.h
@@ -25,6 +25,7 @@
 struct leadership_options {
     /// Unique to each start of the process.
     std::string member;
+    instance_capacity capacity;
     Records::topic_partition progressTopic;
     Records::topic_partition statusTopic;
     /// Longest time that a worker takes to stop a task.
@@ -61,6 +62,7 @@
         Common::instant seenAt;
     };
 
+    term_obstacle findObstacle() const;
     void onElected(const won_election&);
     void readJobs(const std::shared_ptr<leader_term>&, bool areWorkersRead);
     void startDispatching(leader_term&);
--- a/Source/UnitTests/Core/Records/FakeStore.h
+++ b/Source/UnitTests/Core/Records/FakeStore.h
@@ -82,6 +82,10 @@
         std::function<void(Records::read_result)> handler) override
     {
         ++reads;
+        if (silentPartitions.contains(request.partition)) {
+            timers.after(timeout, [handler] { handler({}); });
+            return;
+        }
         const bool isEmpty = partitions[request.partition].end() <= request.from.value;
         const auto wait = isEmpty && request.wait.count() > 0 ? request.wait : Common::millis(0);
         timers.after(wait, [this, request, timeout, handler] {
@@ -96,6 +100,10 @@
         std::function<void(Records::newest_result)> handler) override
     {
         ++listings;
+        if (silentPartitions.contains(topicPartition)) {
+            timers.after(timeout, [handler] { handler({}); });
+            return;
+        }
         const auto listRecords = [this, topicPartition, afterKey] {
             Records::newest_result result { .isRead = true, .end = { partitions[topicPartition].end() } };
             for (const auto& [key, record] : partitions[topicPartition].newest) {
@@ -231,7 +239,7 @@
     /// Bandwidth of reads; 0 for no limit.
     std::size_t bytesPerMilli { 0 };
     std::map<Records::topic_partition, partition> partitions;
-    /// Appends to these are neither executed nor answered.
+    /// Calls about these are neither executed nor answered.
     std::set<Records::topic_partition> silentPartitions;
     int appends { 0 };
     int reads { 0 };
