Measure the processor time of a leader's decisions by fleet size

What callers saw: an overloaded leader on a small instance; nothing showed which of its decisions cost how much. The observer of a dispatcher is told which part begins, and the dispatcher counts the workers and jobs it examined. Decisions are unchanged.

--- a/Source/Bench/Main.cpp
+++ b/Source/Bench/Main.cpp
@@ -1,4 +1,5 @@
 #include "Bench/Latency.h"
+#include "Bench/LeaderBench.h"
 #include "Bench/PolicyBench.h"
 #include "Bench/Slopes.h"
 
@@ -8,7 +9,7 @@
 #include <sstream>
 
 // NOLINTBEGIN(readability-identifier-naming)
-DEFINE_string(mode, "policy", "policy, slopes or latency");
+DEFINE_string(mode, "policy", "policy, slopes, leader or latency");
 DEFINE_uint64(seed, 1, "seed of the load for --mode=policy");
 DEFINE_string(callers, "", "IP:PORT of daemons' listeners for callers, separated by commas");
 DEFINE_string(workers, "", "IP:PORT of workers, separated by commas");
@@ -53,7 +54,7 @@
 
 int main(int argc, char** argv)
 {
-    gflags::SetUsageMessage("loft-bench --mode=policy|slopes|latency: measures performance; docs/MEASURES.md has the results");
+    gflags::SetUsageMessage("loft-bench --mode=policy|slopes|leader|latency: measures performance; docs/MEASURES.md has the results");
     gflags::ParseCommandLineFlags(&argc, &argv, true);
     if (sodium_init() < 0)
         return 1;
@@ -61,6 +62,8 @@
         return runLatencyMode();
     if (FLAGS_mode == "slopes")
         Bench::runSlopes();
+    else if (FLAGS_mode == "leader")
+        Bench::runLeaderBench();
     else
         Bench::runPolicyBench(FLAGS_seed);
     return 0;
--- a/Source/Core/Dispatch/Dispatcher.cpp
+++ b/Source/Core/Dispatch/Dispatcher.cpp
@@ -210,28 +210,39 @@
     dispatch_orders orders;
     if (m_isFenced)
         return orders;
+    m_lastPlan = {};
+    m_observer.onPlanPart(plan_part::Upkeep);
     updateCurrentLease(now, status);
     expireLeases(now, status);
     releaseUnsent(now);
     for (const auto& [id, job] : m_jobs)
         job->openDue(wall);
+    m_observer.onPlanPart(plan_part::Stops);
     planStops(now, orders);
     for (const auto& pool : m_rules.pools) {
         if (m_currentLease >= m_options.lease.minLease)
             planStarts(pool.id, now, wall);
     }
+    m_observer.onPlanPart(plan_part::Sending);
     sendStarts(now, orders);
+    m_observer.onPlanPart(plan_part::Polls);
     planPolls(now, orders);
+    m_observer.onPlanPart(plan_part::Paces);
     planPaces(orders);
+    m_observer.onPlanPart(plan_part::End);
     return orders;
 }
 
 void dispatcher::planStarts(const Common::pool_id& pool, Common::instant now, Common::wall_millis wall)
 {
+    m_observer.onPlanPart(plan_part::Ordering);
     const auto workers = schedulableWorkers(pool, now);
     if (workers.empty())
         return;
-    for (auto* job : jobsInOrder(pool, now, wall)) {
+    const auto jobs = jobsInOrder(pool, now, wall);
+    m_observer.onPlanPart(plan_part::Placement);
+    m_lastPlan.jobsExamined += static_cast<std::int64_t>(jobs.size());
+    for (auto* job : jobs) {
         for (auto& [number, occurrence] : job->occurrences()) {
             for (int step = 0; step < static_cast<int>(occurrence.steps.size()); ++step) {
                 const auto& state = occurrence.steps[static_cast<std::size_t>(step)];
@@ -281,7 +292,7 @@
         if (!m_usage.allows(m_rules, job.record().team, request.step->request))
             return;
         request.avoided = task.failedOn;
-        auto* worker = chooseWorker(workers, request);
+        auto* worker = chooseWorker(workers, request, m_lastPlan.workersExamined);
         if (!worker)
             return;
         ++counts[worker->entry.id];
@@ -316,7 +327,7 @@
         trial.push_back(&copies.emplace_back(*worker));
     std::vector<Common::worker_id> chosen;
     for (std::size_t index = 0; index < tasks.size(); ++index) {
-        auto* worker = chooseWorker(trial, request);
+        auto* worker = chooseWorker(trial, request, m_lastPlan.workersExamined);
         if (!worker)
             return;
         worker->addRun(taskAt(job.record(), occurrence, step, index), { .request = request.step->request });
--- a/Source/Core/Dispatch/Dispatcher.h
+++ b/Source/Core/Dispatch/Dispatcher.h
@@ -63,10 +63,32 @@
     std::optional<Jobs::job_state> state;
 };
 
+/// Parts of a planning pass.
+enum class plan_part {
+    Upkeep,
+    Stops,
+    Ordering,
+    Placement,
+    Sending,
+    Polls,
+    Paces,
+    End
+};
+
 class dispatch_observer {
 public:
     virtual ~dispatch_observer() = default;
     virtual void observe(const dispatch_event&) = 0;
+    /// The part begins; the part before it has ended.
+    virtual void onPlanPart(plan_part) { }
+};
+
+/// Work of the last planning pass, counted so that tests can bound it.
+struct plan_statistics {
+    /// Workers whose resources were compared with a request.
+    std::int64_t workersExamined { 0 };
+    /// Jobs that were looked at for tasks to start.
+    std::int64_t jobsExamined { 0 };
 };
 
 /// Resources requested by a pool's tasks. Best-effort tasks don't count.
@@ -135,6 +157,7 @@
     bool hasJob(const Common::job_id& id) const { return m_jobs.contains(id.value); }
     pool_demand demandOf(const Common::pool_id&, Common::wall_millis wall) const;
     const std::map<Common::worker_id, worker_state>& workers() const { return m_workers; }
+    const plan_statistics& lastPlan() const { return m_lastPlan; }
     /// Stops long-running tasks of a cordoned worker, and best-effort ones, as far as disruption budgets allow.
     void evictLongRunning(const Common::worker_id&);
 
@@ -238,6 +261,7 @@
     /// The store may not answer: jobs in progress go on without waiting for the log.
     bool m_isDegraded { true };
     bool m_isFenced { false };
+    plan_statistics m_lastPlan;
 };
 
 }
--- a/Source/Core/Dispatch/Placement.cpp
+++ b/Source/Core/Dispatch/Placement.cpp
@@ -51,9 +51,11 @@
     return Jobs::fits(amount, worker.entry.capacity);
 }
 
-worker_state* chooseWorker(const std::vector<worker_state*>& workers, const placement_request& request)
+worker_state* chooseWorker(
+    const std::vector<worker_state*>& workers, const placement_request& request, std::int64_t& examined)
 {
     worker_state* best = nullptr;
+    examined += static_cast<std::int64_t>(workers.size());
     for (auto* worker : workers) {
         if (!isEligible(*worker, *request.step) || !hasRoom(*worker, request))
             continue;
--- a/Source/Core/Dispatch/Placement.h
+++ b/Source/Core/Dispatch/Placement.h
@@ -18,7 +18,9 @@
 };
 
 /// Best worker for the task among `workers`, all schedulable and of the task's pool. Null when none fits.
-worker_state* chooseWorker(const std::vector<worker_state*>& workers, const placement_request&);
+/// `examined` is increased by the number of workers that were compared with the request.
+worker_state* chooseWorker(
+    const std::vector<worker_state*>& workers, const placement_request&, std::int64_t& examined);
 
 /// Whether the worker could run the step if it were empty.
 bool isEligible(const worker_state&, const Jobs::step_spec&);
--- a/Source/UnitTests/Core/Dispatch/PlacementTest.cpp
+++ b/Source/UnitTests/Core/Dispatch/PlacementTest.cpp
@@ -14,7 +14,8 @@
 
     auto step = dispatcher_fixture::step(1);
     const Dispatch::placement_request request { .step = &step };
-    CHECK(Dispatch::chooseWorker(workers, request) == &busy);
+    std::int64_t examined = 0;
+    CHECK(Dispatch::chooseWorker(workers, request, examined) == &busy);
     step.isLongRunning = true;
-    CHECK(Dispatch::chooseWorker(workers, request) == &serving);
+    CHECK(Dispatch::chooseWorker(workers, request, examined) == &serving);
 }
