--- a/Source/UnitTests/Core/Dispatch/PlanReferenceTest.cpp
+++ b/Source/UnitTests/Core/Dispatch/PlanReferenceTest.cpp
@@ -123,7 +123,7 @@
             const auto on = std::find_if(
                 workers.begin(), workers.end(), [&task](const auto* worker) { return worker->entry.id == task.worker; });
             if (spec.isRackSensitive)
-                rack = on != workers.end() ? (*on)->entry.rack : m_rackOf[task.worker];
+                rack = on != workers.end() ? (*on)->entry.rack : rackOf[task.worker];
         }
         const auto total = Jobs::times(spec.request, static_cast<std::int64_t>(tasks.size()));
         if (spec.isGang && !m_usage.allows(m_rules, job.record().team, total))
@@ -219,7 +219,7 @@
 
 public:
     /// Racks of all workers, also of those that get no new work.
-    std::map<Common::worker_id, Common::rack_id> m_rackOf;
+    std::map<Common::worker_id, Common::rack_id> rackOf;
 
 private:
     Rules::fleet_rules m_rules;
@@ -236,13 +236,13 @@
         , m_reference(setRules())
     {
         for (int index = 0; index < 24; ++index) {
-            auto entry = f.worker("w" + std::to_string(100 + index), 4 + pick(3) * 4);
+            auto entry = m_fixture.worker("w" + std::to_string(100 + index), 4 + pick(3) * 4);
             entry.pool = { index % 3 == 0 ? "other" : "pool" };
             entry.rack = { "r" + std::to_string(index % 3) };
             entry.labels = { index % 2 == 0 ? "a" : "b" };
             entry.capacity.memory = { 4000 + pick(5) * 500 };
-            m_reference.m_rackOf[entry.id] = entry.rack;
-            f.dispatcher.workerRegistered(entry, f.now, f.now);
+            m_reference.rackOf[entry.id] = entry.rack;
+            m_fixture.dispatcher.workerRegistered(entry, m_fixture.now, m_fixture.now);
         }
     }
 
@@ -251,11 +251,11 @@
         for (int count = pick(4); count > 0; --count)
             addJob();
         if (pick(8) == 0)
-            f.dispatcher.setCordoned({ "w" + std::to_string(100 + pick(24)) }, pick(2) == 0);
-        const auto before = f.dispatcher.workers();
-        const auto at = f.now + dispatcher_fixture::stepTime;
-        const auto orders = f.turn();
-        auto expected = m_reference.plan(before, at, f.wall());
+            m_fixture.dispatcher.setCordoned({ "w" + std::to_string(100 + pick(24)) }, pick(2) == 0);
+        const auto before = m_fixture.dispatcher.workers();
+        const auto at = m_fixture.now + dispatcher_fixture::stepTime;
+        const auto orders = m_fixture.turn();
+        auto expected = m_reference.plan(before, at, m_fixture.wall());
         auto actual = placements();
         std::sort(expected.begin(), expected.end());
         std::sort(actual.begin(), actual.end());
@@ -263,14 +263,14 @@
         m_compared += static_cast<int>(actual.size());
         releaseUnsent(orders.starts);
         m_unsent = std::move(actual);
-        f.dispatcher.onCommitted(f.dispatcher.takeCommit(), f.now);
+        m_fixture.dispatcher.onCommitted(m_fixture.dispatcher.takeCommit(), m_fixture.now);
         for (const auto& start : orders.starts)
-            f.accept(start);
+            m_fixture.accept(start);
         for (const auto& stop : orders.stops)
-            f.dispatcher.onStop(stop, f.done(), f.now);
+            m_fixture.dispatcher.onStop(stop, m_fixture.done(), m_fixture.now);
         for (const auto& poll : orders.polls)
             answer(poll);
-        f.dispatcher.onCommitted(f.dispatcher.takeCommit(), f.now);
+        m_fixture.dispatcher.onCommitted(m_fixture.dispatcher.takeCommit(), m_fixture.now);
     }
 
     int compared() const { return m_compared; }
@@ -280,18 +280,18 @@
 
     Rules::fleet_rules setRules()
     {
-        f.rules.pools.push_back({ .id = { "other" } });
-        f.rules.queues = { { .id = { "queue" }, .pool = { "pool" }, .priority = 1, .maxAttempts = 1000, .stretch = 2 },
+        m_fixture.rules.pools.push_back({ .id = { "other" } });
+        m_fixture.rules.queues = { { .id = { "queue" }, .pool = { "pool" }, .priority = 1, .maxAttempts = 1000, .stretch = 2 },
             { .id = { "urgent" }, .pool = { "pool" }, .priority = 0, .maxAttempts = 1000, .stretch = 3 },
             { .id = { "far" }, .pool = { "other" }, .priority = 1, .maxAttempts = 1000, .stretch = 2 } };
-        f.rules.teams = { { .id = { "team" } }, { .id = { "limited" }, .limit = { .processor = { 20000 } } } };
-        f.dispatcher.setRules(f.rules);
-        return f.rules;
+        m_fixture.rules.teams = { { .id = { "team" } }, { .id = { "limited" }, .limit = { .processor = { 20000 } } } };
+        m_fixture.dispatcher.setRules(m_fixture.rules);
+        return m_fixture.rules;
     }
 
     Jobs::step_spec randomStep(int index)
     {
-        auto step = f.step(1 + pick(5), 250 * (1 + pick(20)));
+        auto step = m_fixture.step(1 + pick(5), 250 * (1 + pick(20)));
         step.request.memory = { 100 * (1 + pick(20)) };
         step.estimate = Common::millis(100 * pick(10));
         if (index > 0 && pick(2) == 0)
@@ -313,15 +313,15 @@
         std::vector<Jobs::step_spec> steps;
         for (int index = 0; index <= pick(3); ++index)
             steps.push_back(randomStep(index));
-        auto record = f.job("j" + std::to_string(pick(1000000)), steps);
+        auto record = m_fixture.job("j" + std::to_string(pick(1000000)), steps);
         if (m_reference.find(record.id))
             return;
         record.queue = { queues[static_cast<std::size_t>(queueIndex)] };
         record.team = { pick(4) == 0 ? "limited" : "team" };
-        record.acceptedAt = { f.wall().value - pick(3000) };
-        const auto& queue = *f.rules.findQueue(record.queue);
+        record.acceptedAt = { m_fixture.wall().value - pick(3000) };
+        const auto& queue = *m_fixture.rules.findQueue(record.queue);
         const auto path = static_cast<double>(Dispatch::criticalPath(record.spec).count());
-        f.add(record);
+        m_fixture.add(record);
         m_reference.add(record, { record.acceptedAt.value + static_cast<std::int64_t>(queue.stretch * path) });
     }
 
@@ -333,14 +333,14 @@
                 starts.begin(), starts.end(), [&placed](const auto& start) { return start.task == placed.task; });
             auto* job = m_reference.find(placed.task.job);
             if (!isSent && job)
-                job->release(placed.task, f.now);
+                job->release(placed.task, m_fixture.now);
         }
     }
 
     std::vector<expected_placement> placements() const
     {
         std::vector<expected_placement> found;
-        for (const auto& [id, worker] : f.dispatcher.workers()) {
+        for (const auto& [id, worker] : m_fixture.dispatcher.workers()) {
             for (const auto& [name, run] : worker.runs) {
                 if (run.phase == Dispatch::run_phase::Planned && !run.isLogged)
                     found.push_back({ name, id, run.run });
@@ -353,7 +353,7 @@
     {
         std::vector<Dispatch::listed_run> running;
         std::vector<Dispatch::listed_end> ended;
-        for (const auto& [name, run] : f.dispatcher.workers().at(poll.worker.id).runs) {
+        for (const auto& [name, run] : m_fixture.dispatcher.workers().at(poll.worker.id).runs) {
             const bool isStopping = run.phase == Dispatch::run_phase::Stopping;
             if (!isStopping && run.phase != Dispatch::run_phase::Running)
                 continue;
@@ -367,7 +367,7 @@
                 .run = run.run,
                 .kind = isStopping ? Dispatch::end_kind::Stopped : kind });
         }
-        f.answerPoll(poll, running, ended);
+        m_fixture.answerPoll(poll, running, ended);
         for (const auto& end : ended)
             apply(end, poll.worker.id);
     }
@@ -392,12 +392,12 @@
             return;
         }
         if (task->phase == Dispatch::task_phase::Placed && task->worker == worker && task->run == end.run)
-            job->release(end.task, f.now + Common::millis(spec.isLongRunning ? 150 : 0));
+            job->release(end.task, m_fixture.now + Common::millis(spec.isLongRunning ? 150 : 0));
         if (end.kind == Dispatch::end_kind::Failed && !spec.isLongRunning && task->phase != Dispatch::task_phase::Done)
             task->failedOn = worker;
     }
 
-    dispatcher_fixture f;
+    dispatcher_fixture m_fixture;
     std::mt19937 m_random;
     reference_planner m_reference;
     /// Placed in the last pass.
