Plan starts without comparing each waiting job with each worker

What callers saw: while a small instance led, tasks of cancelled jobs started seconds late and too little was served; it grew worse as work queued up. Cause: a planning pass compared each task of each open job with all workers of its pool, through tuples with strings, sorted all jobs by strings and walked all runs for stops, polls and paces. Its cost grew with backlog x workers. Change: workers of a pool are sorted by free processor for a pass, so the first that fits is the best one for most tasks, and requests that found no room are remembered; gangs copy only the workers they are tried on. Open jobs are kept in order for each pool, with the demand, the remaining path and whether a task is ready calculated once for each change of a job. Workers count their runs by phase; the workers that run a job are indexed, so that its end doesn't walk all of them.

--- a/Source/Core/Dispatch/Dispatcher.h
+++ b/Source/Core/Dispatch/Dispatcher.h
@@ -1,11 +1,13 @@
 #pragma once
 
+#include "Dispatch/JobOrder.h"
 #include "Dispatch/OpenJob.h"
 #include "Dispatch/Placement.h"
 #include "Dispatch/TeamUsage.h"
 
 #include <set>
 #include <unordered_map>
+#include <unordered_set>
 
 namespace Dispatch {
 
@@ -175,16 +177,28 @@
     bool isPoolReconciled(const Common::pool_id&, Common::instant now) const;
     /// Whether the worker may get new work.
     bool isSchedulable(const worker_state&, Common::instant now) const;
-    std::vector<worker_state*> schedulableWorkers(const Common::pool_id&, Common::instant now);
+    std::vector<worker_state*> schedulableWorkers(const Common::pool_id&, Common::instant now) const;
+    void updateRegistration(worker_state&, const worker_entry&, Common::instant now);
+    void indexWorker(worker_state&);
+    /// To be called before the worker's pool changes.
+    void unindexWorker(worker_state&);
+    /// All workers of the pool, in order of their ids.
+    const std::vector<worker_state*>& workersOf(const Common::pool_id&) const;
+    void indexJob(open_job&);
+    void removeJob(const Common::job_id&);
     /// Finds or creates the state of a worker that may run tasks of an earlier leader, registered or not.
     worker_state& expectWorker(const Common::worker_id&, const Common::pool_id&, Common::instant now);
-    std::vector<open_job*> jobsInOrder(const Common::pool_id&, Common::instant now, Common::wall_millis wall);
+    /// Whether the next leader will know where the job's tasks may be running.
+    bool mayGoOn(const open_job&, Common::instant now) const;
+    /// Jobs with tasks that wait and are ready, in the order in which they are placed.
+    std::vector<open_job*> startableJobs(const Common::pool_id&, Common::instant now, Common::wall_millis wall);
 
     void expireLeases(Common::instant now, const leadership_status&);
     void planStarts(const Common::pool_id&, Common::instant now, Common::wall_millis wall);
     bool mayStart(const task_state&, Common::instant now) const;
-    void planStep(open_job&, int occurrence, int step, const std::vector<worker_state*>&, Common::instant now);
-    void planGang(open_job&, int occurrence, int step, const std::vector<worker_state*>&, Common::instant now);
+    void planJob(open_job&, placement_index&, Common::instant now);
+    void planStep(open_job&, int occurrence, int step, placement_index&, Common::instant now);
+    void planGang(open_job&, int occurrence, int step, placement_index&, Common::instant now);
     placement_request requestFor(open_job&, int occurrence, int step, std::map<Common::worker_id, int>& counts);
     static task_run runOf(
         const open_job&, const Jobs::task_name&, run_number, run_phase, Common::instant now);
@@ -213,7 +227,7 @@
     worker_state* acceptReply(const Common::worker_id&, const order_reply&, Common::instant now);
     void applyReply(worker_state&, const order_reply&, Common::instant now);
     bool checkIncarnation(worker_state&, const order_reply&, Common::instant now);
-    static bool isTooLate(const open_job&, Common::wall_millis wall);
+    static bool isTooLate(open_job&, Common::wall_millis wall);
     void suspect(worker_state&, Common::instant now, Common::millis time);
     void handleEnd(worker_state&, const listed_end&, Common::instant now);
     void handleDone(open_job&, const listed_end&);
@@ -236,7 +250,13 @@
     Rules::fleet_rules m_rules;
     std::set<Common::data_centre_id> m_evacuated;
     std::map<Common::worker_id, worker_state> m_workers;
+    /// In order of their ids.
+    std::map<Common::pool_id, std::vector<worker_state*>> m_workersOfPools;
     std::unordered_map<std::string, std::unique_ptr<open_job>> m_jobs;
+    std::map<Common::pool_id, job_order> m_jobsOfPools;
+    std::unordered_set<open_job*> m_repeatedJobs;
+    /// For each job, the number of its runs on each worker that has some.
+    std::unordered_map<std::string, std::map<Common::worker_id, int>> m_runsOfJobs;
     /// Jobs without progress in the log when they were added; no earlier leader can have started them.
     std::set<std::string> m_neverStarted;
     /// Starts that haven't been sent, since the log doesn't have their placements yet.
--- a/Source/Core/Dispatch/DispatcherLeases.cpp
+++ b/Source/Core/Dispatch/DispatcherLeases.cpp
@@ -46,15 +46,17 @@
         auto& worker = entry->second;
         const bool areLeasesOver = now >= worker.leaseExpiryBound && !worker.isPollInFlight;
         // Runs whose start hasn't been sent have no lease yet.
-        const bool hasSent = std::any_of(
-            worker.runs.begin(), worker.runs.end(), [](const auto& item) { return item.second.isSent; });
-        if (areLeasesOver && hasSent) {
+        const auto hasSent = [&runs = worker.runs] {
+            return std::any_of(runs.begin(), runs.end(), [](const auto& item) { return item.second.isSent; });
+        };
+        if (areLeasesOver && hasSent()) {
             observe({ .kind = dispatch_event_kind::WorkerLeaseExpired, .worker = worker.entry.id });
             loseAllRuns(worker, now);
         }
         if (areLeasesOver && !worker.isRegistered && worker.runs.empty()) {
             m_uncommittedEnds.erase(entry->first);
             m_acknowledgedEnds.erase(entry->first);
+            unindexWorker(worker);
             entry = m_workers.erase(entry);
         } else {
             ++entry;
@@ -65,6 +67,8 @@
 void dispatcher::planStops(Common::instant now, dispatch_orders& orders)
 {
     for (auto& [id, worker] : m_workers) {
+        if (!worker.hasRunsIn(run_phase::Stopping))
+            continue;
         for (auto& [name, run] : worker.runs) {
             if (run.phase != run_phase::Stopping || !run.isSent || run.isStopInFlight || run.stopAcceptedAt)
                 continue;
@@ -83,14 +87,9 @@
     for (auto& [id, worker] : m_workers) {
         if (worker.isPollInFlight || now < worker.nextPollAt || worker.entry.address.port == 0)
             continue;
-        const bool hasNewAcknowledgement = worker.storedEnd > m_acknowledgedEnds[id];
-        const auto hasPhase = [&runs = worker.runs](run_phase phase) {
-            return std::any_of(
-                runs.begin(), runs.end(), [phase](const auto& entry) { return entry.second.phase == phase; });
-        };
         // A start grants its own lease, so there is no need to poll before it is answered.
-        if (worker.hasReported && !hasNewAcknowledgement && !hasPhase(run_phase::Running)
-            && !hasPhase(run_phase::Stopping))
+        const bool hasStarted = worker.hasRunsIn(run_phase::Running) || worker.hasRunsIn(run_phase::Stopping);
+        if (worker.hasReported && !hasStarted && worker.storedEnd <= m_acknowledgedEnds[id])
             continue;
         poll_order order { .worker = { worker.entry.id, worker.entry.address }, .acknowledgedEnd = worker.storedEnd };
         // An unresponsive worker gets no renewal, so that its leases expire.
@@ -98,7 +97,7 @@
             && worker.unansweredPolls == 0 && !worker.runs.empty();
         if (isExtended)
             order.deadline = worker.grantLease(now, m_currentLease);
-        if (isExtended && !hasPhase(run_phase::Stopping))
+        if (isExtended && !worker.hasRunsIn(run_phase::Stopping))
             order.wait = pollWait;
         worker.isPollInFlight = true;
         m_acknowledgedEnds[id] = worker.storedEnd;
@@ -109,6 +108,8 @@
 void dispatcher::planPaces(dispatch_orders& orders)
 {
     for (auto& [id, worker] : m_workers) {
+        if (!worker.hasBestEffortRuns())
+            continue;
         double worst = -1;
         for (const auto& [name, run] : worker.runs) {
             const auto* job = findJob(name.job);
--- a/Source/Core/Dispatch/DispatcherPlacements.cpp
+++ b/Source/Core/Dispatch/DispatcherPlacements.cpp
@@ -91,7 +91,7 @@
             releaseRun(worker, planned.task, now);
             continue;
         }
-        run->phase = run_phase::Starting;
+        worker.setPhase(*run, run_phase::Starting);
         run->isSent = true;
         run->startedAt = now;
         run->progressedAt = now;
@@ -107,6 +107,8 @@
 void dispatcher::releaseUnsent(Common::instant now)
 {
     for (auto& [id, worker] : m_workers) {
+        if (!worker.hasRunsIn(run_phase::Stopping))
+            continue;
         std::vector<Jobs::task_name> unsent;
         for (const auto& [name, run] : worker.runs) {
             if (run.phase == run_phase::Stopping && !run.isSent)
@@ -120,8 +122,7 @@
 void dispatcher::markStored(const Jobs::job_progress& progress)
 {
     if (Jobs::isFinal(progress.state)) {
-        m_jobs.erase(progress.job.value);
-        m_neverStarted.erase(progress.job.value);
+        removeJob(progress.job);
         return;
     }
     if (auto* job = findJob(progress.job))
--- a/Source/Core/Dispatch/DispatcherReplies.cpp
+++ b/Source/Core/Dispatch/DispatcherReplies.cpp
@@ -1,6 +1,7 @@
 #include "Dispatch/Dispatcher.h"
 
 #include <algorithm>
+#include <limits>
 
 namespace Dispatch {
 
@@ -31,6 +32,7 @@
 {
     dropRun(worker, name);
     m_usage.add(run.team, run.request);
+    ++m_runsOfJobs[name.job.value][worker.entry.id];
     return worker.addRun(name, run);
 }
 
@@ -40,6 +42,11 @@
     if (found == worker.runs.end())
         return;
     m_usage.remove(found->second.team, found->second.request);
+    const auto runs = m_runsOfJobs.find(name.job.value);
+    if (--runs->second[worker.entry.id] == 0)
+        runs->second.erase(worker.entry.id);
+    if (runs->second.empty())
+        m_runsOfJobs.erase(runs);
     worker.removeRun(name);
 }
 
@@ -57,7 +64,7 @@
     auto& run = worker.runs.at(name);
     if (run.phase == run_phase::Stopping)
         return;
-    run.phase = run_phase::Stopping;
+    worker.setPhase(run, run_phase::Stopping);
     observe({ .kind = dispatch_event_kind::StopOrdered, .task = name, .worker = worker.entry.id, .run = run.run });
 }
 
@@ -137,7 +144,7 @@
         .outcome = reply.outcome };
     if (reply.outcome == order_outcome::Done) {
         if (run.phase == run_phase::Starting)
-            run.phase = run_phase::Running;
+            worker.setPhase(run, run_phase::Running);
         run.startedAt = now;
         run.progressedAt = now;
         if (auto* job = findJob(order.task.job))
@@ -407,11 +414,15 @@
 
 void dispatcher::stopRunsOf(const Common::job_id& id)
 {
-    for (auto& [workerId, worker] : m_workers) {
-        for (auto& [name, run] : worker.runs) {
-            if (name.job == id)
-                orderStop(worker, name);
-        }
+    const auto found = m_runsOfJobs.find(id.value);
+    if (found == m_runsOfJobs.end())
+        return;
+    constexpr int least = std::numeric_limits<int>::min();
+    for (const auto& [workerId, count] : found->second) {
+        auto& worker = m_workers.at(workerId);
+        auto run = worker.runs.lower_bound({ .job = id, .occurrence = least, .step = least, .index = least });
+        for (; run != worker.runs.end() && run->first.job == id; ++run)
+            orderStop(worker, run->first);
     }
 }
 
--- a/Source/Core/Dispatch/OpenJob.cpp
+++ b/Source/Core/Dispatch/OpenJob.cpp
@@ -9,6 +9,8 @@
     , isLogged(progress.state != Jobs::job_state::Pending || !progress.tasks.empty())
     , m_record(record)
     , m_base(base)
+    , m_hasLongRunningTasks(std::any_of(record.spec.steps.begin(), record.spec.steps.end(),
+          [](const auto& step) { return step.isLongRunning; }))
 {
     if (m_record.spec.repetitions <= 0)
         open(0);
@@ -35,6 +37,7 @@
     auto& opened = m_occurrences[occurrence];
     if (!opened.steps.empty())
         return opened;
+    m_summary.reset();
     for (const auto& step : m_record.spec.steps) {
         task_state fresh;
         fresh.lastRun = m_base;
@@ -88,15 +91,10 @@
     return true;
 }
 
-bool open_job::hasLongRunningTasks() const
-{
-    const auto& steps = m_record.spec.steps;
-    return std::any_of(steps.begin(), steps.end(), [](const auto& step) { return step.isLongRunning; });
-}
-
 void open_job::place(const Jobs::task_name& name, const Common::worker_id& worker, run_number run)
 {
     auto* task = find(name);
+    m_summary.reset();
     task->phase = task_phase::Placed;
     task->worker = worker;
     task->run = run;
@@ -110,6 +108,7 @@
     auto* task = find(name);
     if (!task || task->phase != task_phase::Placed)
         return;
+    m_summary.reset();
     task->phase = task_phase::Waiting;
     task->notBefore = notBefore;
     --m_occurrences[name.occurrence].steps[static_cast<std::size_t>(name.step)].placed;
@@ -120,6 +119,7 @@
     auto* task = find(name);
     if (!task || task->phase == task_phase::Done)
         return;
+    m_summary.reset();
     auto& step = m_occurrences[name.occurrence].steps[static_cast<std::size_t>(name.step)];
     if (task->phase == task_phase::Placed)
         --step.placed;
@@ -158,12 +158,31 @@
     return progress;
 }
 
-Common::millis open_job::remainingCriticalPath() const
+const job_summary& open_job::summary()
 {
-    Common::millis longest { 0 };
-    for (const auto& [number, occurrence] : m_occurrences)
-        longest = std::max(longest, criticalPath(m_record.spec, &occurrence));
-    return longest;
+    if (!m_summary)
+        m_summary = summarize();
+    return *m_summary;
+}
+
+job_summary open_job::summarize() const
+{
+    job_summary summary;
+    for (const auto& [number, occurrence] : m_occurrences) {
+        summary.remainingPath = std::max(summary.remainingPath, criticalPath(m_record.spec, &occurrence));
+        for (std::size_t step = 0; step < occurrence.steps.size(); ++step) {
+            const auto& state = occurrence.steps[step];
+            const auto& spec = m_record.spec.steps[step];
+            const auto open = static_cast<std::int64_t>(state.tasks.size()) - state.done - state.placed;
+            const bool isStepReady = isReady(occurrence, static_cast<int>(step));
+            summary.hasReadyTasks = summary.hasReadyTasks || (open > 0 && isStepReady);
+            if (spec.isBestEffort)
+                continue;
+            (isStepReady ? summary.waiting : summary.blocked) += Jobs::times(spec.request, open);
+            summary.placed += Jobs::times(spec.request, state.placed);
+        }
+    }
+    return summary;
 }
 
 Common::millis criticalPath(const Jobs::job_spec& spec, const occurrence_state* done)
--- a/Source/Core/Dispatch/OpenJob.h
+++ b/Source/Core/Dispatch/OpenJob.h
@@ -5,6 +5,7 @@
 
 #include <map>
 #include <memory>
+#include <optional>
 #include <set>
 
 namespace Dispatch {
@@ -43,6 +44,19 @@
     std::vector<step_state> steps;
 };
 
+/// What scheduling needs to know about the steps of a job.
+struct job_summary {
+    /// Some tasks wait whose dependencies are done.
+    bool hasReadyTasks { false };
+    /// Estimated length of the critical path through the steps that aren't done; the longest of all open occurrences.
+    Common::millis remainingPath { 0 };
+    /// Requests of the tasks that wait and are ready, of those that wait for others, and of those that are placed.
+    /// Best-effort tasks don't count.
+    Jobs::resources waiting;
+    Jobs::resources blocked;
+    Jobs::resources placed;
+};
+
 /// A job that isn't finished, as the leader of its pool tracks it.
 class open_job {
 public:
@@ -62,9 +76,9 @@
     /// Whether all steps that the step depends on have completed.
     bool isReady(const occurrence_state&, int step) const;
     bool isComplete() const;
-    bool hasLongRunningTasks() const;
-    /// Estimated length of the critical path through the steps that aren't done; the longest of all open occurrences.
-    Common::millis remainingCriticalPath() const;
+    bool hasLongRunningTasks() const { return m_hasLongRunningTasks; }
+    /// Calculated again after the job has changed only.
+    const job_summary& summary();
 
     void place(const Jobs::task_name&, const Common::worker_id&, run_number);
     /// Returns the task to the waiting ones; it isn't started before `notBefore`.
@@ -79,14 +93,20 @@
     Common::instant addedAt;
     /// Wall-clock deadline of the job; earlier deadlines are scheduled first.
     Common::wall_millis dueAt;
+    /// Of its queue; 0 is the highest.
+    int priority { 0 };
 
 private:
     occurrence_state& open(int occurrence);
     int occurrenceCount() const;
+    job_summary summarize() const;
 
     Jobs::job_record m_record;
     run_number m_base;
     std::map<int, occurrence_state> m_occurrences;
+    bool m_hasLongRunningTasks { false };
+    /// Empty when the job has changed since it was calculated.
+    std::optional<job_summary> m_summary;
 };
 
 /// Estimated length of the critical path through the steps. Steps that are done in `done`, if given, count as 0.
--- a/Source/Core/Dispatch/Placement.cpp
+++ b/Source/Core/Dispatch/Placement.cpp
@@ -1,68 +1,186 @@
 #include "Dispatch/Placement.h"
 
 #include <algorithm>
-#include <tuple>
+#include <utility>
 
 namespace Dispatch {
 
 namespace {
 
+    /// Requests that are remembered as ruled out; the memory of a pass stays bounded.
+    constexpr std::size_t maxRuledOut = 64;
+
     bool hasLabel(const worker_state& worker, const std::string& label)
     {
         const auto& labels = worker.entry.labels;
-        return std::find(labels.begin(), labels.end(), label) != labels.end();
+        return label.empty() || std::find(labels.begin(), labels.end(), label) != labels.end();
     }
 
-    bool hasRoom(const worker_state& worker, const placement_request& request)
+    /// What a task of the step reserves; best-effort tasks reserve no processor.
+    Jobs::resources reservedBy(const Jobs::step_spec& step)
     {
-        auto amount = request.step->request;
-        if (request.step->isBestEffort)
+        auto amount = step.request;
+        if (step.isBestEffort)
             amount.processor = {};
-        if (!Jobs::fits(amount, worker.free()))
-            return false;
-        if (request.step->maxPerWorker <= 0 || !request.onWorker)
-            return true;
-        const auto found = request.onWorker->find(worker.entry.id);
-        return found == request.onWorker->end() || found->second < request.step->maxPerWorker;
+        return amount;
     }
 
-    /// Lower is better. Long-running tasks are packed on few workers, so that others can leave the pool; best-effort
-    /// tasks go where the most processor is spare.
-    auto rank(const worker_state& worker, const placement_request& request)
+    /// Whether the workers with the least free processor aren't always preferred.
+    bool hasPreference(const placement_request& request)
     {
         const auto& step = *request.step;
-        const bool isAvoided = worker.entry.id == request.avoided;
-        const bool isFarFromData = !step.dataRack.empty() && worker.entry.rack != step.dataRack;
-        const bool isOtherRack = !request.rack.empty() && worker.entry.rack != request.rack;
-        const bool needsFreshWorker = step.isLongRunning && !step.isBestEffort && !worker.hasLongRunningRuns();
-        const auto remaining = step.isBestEffort ? -worker.spareProcessor().value : worker.free().processor.value;
-        return std::make_tuple(isAvoided, isFarFromData || isOtherRack, needsFreshWorker, remaining, worker.entry.id);
+        return step.isLongRunning || step.isBestEffort || !step.dataRack.empty() || !request.rack.empty()
+            || !request.avoided.empty();
     }
 
 }
 
-bool isEligible(const worker_state& worker, const Jobs::step_spec& step)
+/// Lower is better. Long-running tasks are packed on few workers, so that others can leave the pool; best-effort tasks
+/// go where the most processor is spare.
+struct placement_index::slot_rank {
+    bool isAvoided { false };
+    bool isInOtherRack { false };
+    bool needsFreshWorker { false };
+    std::int64_t remaining { 0 };
+    std::size_t slot { 0 };
+
+    friend auto operator<=>(const slot_rank&, const slot_rank&) = default;
+};
+
+placement_index::placement_index(const std::vector<worker_state*>& workers)
 {
-    if (!step.requiredLabel.empty() && !hasLabel(worker, step.requiredLabel))
-        return false;
-    auto amount = step.request;
-    if (step.isBestEffort)
-        amount.processor = {};
-    return Jobs::fits(amount, worker.entry.capacity);
+    m_slots.reserve(workers.size());
+    m_order.reserve(workers.size());
+    for (auto* worker : workers) {
+        m_order.push_back({ .processor = worker->free().processor.value, .slot = m_slots.size() });
+        m_slots.push_back({ .worker = worker, .free = worker->free() });
+    }
+    std::sort(m_order.begin(), m_order.end());
 }
 
-worker_state* chooseWorker(
-    const std::vector<worker_state*>& workers, const placement_request& request, std::int64_t& examined)
+bool placement_index::isRuledOut(const Jobs::step_spec& step) const
 {
-    worker_state* best = nullptr;
-    examined += static_cast<std::int64_t>(workers.size());
-    for (auto* worker : workers) {
-        if (!isEligible(*worker, *request.step) || !hasRoom(*worker, request))
+    const auto amount = reservedBy(step);
+    return std::any_of(m_ruledOut.begin(), m_ruledOut.end(), [&step, &amount](const auto& known) {
+        return (known.requiredLabel.empty() || known.requiredLabel == step.requiredLabel)
+            && Jobs::fits(known.amount, amount);
+    });
+}
+
+void placement_index::ruleOut(const Jobs::step_spec& step)
+{
+    const ruled_out_request added { .amount = reservedBy(step), .requiredLabel = step.requiredLabel };
+    std::erase_if(m_ruledOut, [&added](const auto& known) {
+        return (added.requiredLabel.empty() || known.requiredLabel == added.requiredLabel)
+            && Jobs::fits(added.amount, known.amount);
+    });
+    if (m_ruledOut.size() < maxRuledOut)
+        m_ruledOut.push_back(added);
+}
+
+bool placement_index::isWithinLimit(const slot& slot, const placement_request& request) const
+{
+    if (request.step->maxPerWorker <= 0 || !request.onWorker)
+        return true;
+    const auto found = request.onWorker->find(slot.worker->entry.id);
+    return found == request.onWorker->end() || found->second < request.step->maxPerWorker;
+}
+
+placement_index::slot_rank placement_index::rankOf(std::size_t index, const placement_request& request) const
+{
+    const auto& slot = m_slots[index];
+    const auto& step = *request.step;
+    const auto& worker = slot.current();
+    const bool isFarFromData = !step.dataRack.empty() && worker.entry.rack != step.dataRack;
+    const bool isOtherRack = !request.rack.empty() && worker.entry.rack != request.rack;
+    return { .isAvoided = worker.entry.id == request.avoided,
+        .isInOtherRack = isFarFromData || isOtherRack,
+        .needsFreshWorker = step.isLongRunning && !step.isBestEffort && !worker.hasLongRunningRuns(),
+        .remaining = step.isBestEffort ? -worker.spareProcessor().value : slot.free.processor.value,
+        .slot = index };
+}
+
+worker_state* placement_index::choose(const placement_request& request)
+{
+    if (isRuledOut(*request.step))
+        return nullptr;
+    const auto amount = reservedBy(*request.step);
+    const bool isFirstBest = !hasPreference(request);
+    bool hasRoom = false;
+    std::optional<slot_rank> best;
+    const order_key least { .processor = amount.processor.value };
+    for (auto key = std::lower_bound(m_order.begin(), m_order.end(), least); key != m_order.end(); ++key) {
+        ++m_workersExamined;
+        const auto& slot = m_slots[key->slot];
+        if (!Jobs::fits(amount, slot.free) || !hasLabel(*slot.worker, request.step->requiredLabel))
             continue;
-        if (!best || rank(*worker, request) < rank(*best, request))
-            best = worker;
+        hasRoom = true;
+        if (!isWithinLimit(slot, request))
+            continue;
+        const auto rank = rankOf(key->slot, request);
+        if (!best || rank < *best)
+            best = rank;
+        if (isFirstBest)
+            break;
+    }
+    // What doesn't fit during a trial may fit after it.
+    if (!hasRoom && m_trialSlots.empty())
+        ruleOut(*request.step);
+    return best ? m_slots[best->slot].worker : nullptr;
+}
+
+std::size_t placement_index::slotOf(const worker_state& worker) const
+{
+    const auto found = std::lower_bound(m_slots.begin(), m_slots.end(), worker.entry.id,
+        [](const auto& slot, const auto& id) { return slot.worker->entry.id < id; });
+    return static_cast<std::size_t>(found - m_slots.begin());
+}
+
+void placement_index::reorder(std::size_t index)
+{
+    auto& slot = m_slots[index];
+    const order_key from { .processor = slot.free.processor.value, .slot = index };
+    const auto free = slot.current().free();
+    // A new run replaces an old one of the same task, which may have used more.
+    if (!Jobs::fits(free, slot.free))
+        m_ruledOut.clear();
+    slot.free = free;
+    const order_key to { .processor = slot.free.processor.value, .slot = index };
+    const auto old = std::lower_bound(m_order.begin(), m_order.end(), from);
+    const auto target = std::lower_bound(m_order.begin(), m_order.end(), to);
+    if (target <= old) {
+        std::rotate(target, old, old + 1);
+        *target = to;
+    } else {
+        std::rotate(old, old + 1, target);
+        *(target - 1) = to;
+    }
+}
+
+void placement_index::update(const worker_state& worker) { reorder(slotOf(worker)); }
+
+void placement_index::tryRun(const worker_state& worker, const Jobs::task_name& name, const task_run& run)
+{
+    const auto index = slotOf(worker);
+    auto& slot = m_slots[index];
+    if (!slot.trial) {
+        slot.trial = std::make_unique<worker_state>(*slot.worker);
+        m_trialSlots.push_back(index);
+    }
+    slot.trial->addRun(name, run);
+    reorder(index);
+}
+
+void placement_index::endTrial()
+{
+    // What was ruled out before the trial still is.
+    const auto ruledOut = std::exchange(m_ruledOut, {});
+    for (const auto index : m_trialSlots) {
+        m_slots[index].trial.reset();
+        reorder(index);
     }
-    return best;
+    m_trialSlots.clear();
+    m_ruledOut = ruledOut;
 }
 
 }
--- a/Source/Core/Dispatch/Placement.h
+++ b/Source/Core/Dispatch/Placement.h
@@ -2,6 +2,7 @@
 
 #include "Dispatch/WorkerState.h"
 
+#include <memory>
 #include <vector>
 
 namespace Dispatch {
@@ -17,12 +18,61 @@
     const std::map<Common::worker_id, int>* onWorker { nullptr };
 };
 
-/// Best worker for the task among `workers`, all schedulable and of the task's pool. Null when none fits.
-/// `examined` is increased by the number of workers that were compared with the request.
-worker_state* chooseWorker(
-    const std::vector<worker_state*>& workers, const placement_request&, std::int64_t& examined);
+/// The schedulable workers of a pool during one planning pass, in order of their free processor. Remembers which
+/// requests found no worker, so that a full pool isn't searched again for each waiting task.
+class placement_index {
+public:
+    /// `workers` are sorted by id.
+    explicit placement_index(const std::vector<worker_state*>& workers);
 
-/// Whether the worker could run the step if it were empty.
-bool isEligible(const worker_state&, const Jobs::step_spec&);
+    /// Best worker for the task. Null when none fits.
+    worker_state* choose(const placement_request&);
+    /// To be called after the chosen worker's runs have changed.
+    void update(const worker_state&);
+    /// Whether an earlier request showed that no worker has room for a task of the step.
+    bool isRuledOut(const Jobs::step_spec&) const;
+
+    /// Places a task on a copy of the worker, until `endTrial`.
+    void tryRun(const worker_state&, const Jobs::task_name&, const task_run&);
+    void endTrial();
+
+    std::int64_t workersExamined() const { return m_workersExamined; }
+
+private:
+    struct slot {
+        worker_state* worker { nullptr };
+        Jobs::resources free;
+        /// The worker with the runs of the present trial; null when it has none.
+        std::unique_ptr<worker_state> trial;
+
+        const worker_state& current() const { return trial ? *trial : *worker; }
+    };
+    /// Position in the order: by free processor, then by id.
+    struct order_key {
+        std::int64_t processor { 0 };
+        std::size_t slot { 0 };
+
+        friend auto operator<=>(const order_key&, const order_key&) = default;
+    };
+    /// A request that no worker has room for; requests of as much or more have none either.
+    struct ruled_out_request {
+        Jobs::resources amount;
+        std::string requiredLabel;
+    };
+    struct slot_rank;
+
+    std::size_t slotOf(const worker_state&) const;
+    slot_rank rankOf(std::size_t slot, const placement_request&) const;
+    bool isWithinLimit(const slot&, const placement_request&) const;
+    /// Updates the order after the slot's free resources have changed.
+    void reorder(std::size_t slot);
+    void ruleOut(const Jobs::step_spec&);
+
+    std::vector<slot> m_slots;
+    std::vector<order_key> m_order;
+    std::vector<ruled_out_request> m_ruledOut;
+    std::vector<std::size_t> m_trialSlots;
+    std::int64_t m_workersExamined { 0 };
+};
 
 }
--- a/Source/Core/Dispatch/WorkerState.cpp
+++ b/Source/Core/Dispatch/WorkerState.cpp
@@ -49,18 +49,17 @@
     m_clock.reset();
     runs.clear();
     m_used = {};
+    m_runsInPhase = {};
+    m_longRunningRuns = 0;
+    m_bestEffortRuns = 0;
+    m_bestEffortProcessor = {};
 }
 
 Jobs::resources worker_state::free() const { return entry.capacity - m_used; }
 
 Common::millicores worker_state::spareProcessor() const
 {
-    Common::millicores left = free().processor;
-    for (const auto& [name, run] : runs) {
-        if (run.isBestEffort)
-            left -= run.request.processor;
-    }
-    return left;
+    return free().processor - m_bestEffortProcessor;
 }
 
 Jobs::resources worker_state::charge(const task_run& run)
@@ -75,6 +74,7 @@
 {
     removeRun(name);
     m_used += charge(run);
+    count(run, 1);
     return runs[name] = run;
 }
 
@@ -84,13 +84,25 @@
     if (found == runs.end())
         return;
     m_used -= charge(found->second);
+    count(found->second, -1);
     runs.erase(found);
 }
 
-bool worker_state::hasLongRunningRuns() const
+void worker_state::count(const task_run& run, int change)
 {
-    return std::any_of(runs.begin(), runs.end(),
-        [](const auto& entry) { return entry.second.isLongRunning || entry.second.isBestEffort; });
+    m_runsInPhase[static_cast<std::size_t>(run.phase)] += change;
+    m_longRunningRuns += run.isLongRunning || run.isBestEffort ? change : 0;
+    if (!run.isBestEffort)
+        return;
+    m_bestEffortRuns += change;
+    m_bestEffortProcessor.value += run.request.processor.value * change;
+}
+
+void worker_state::setPhase(task_run& run, run_phase phase)
+{
+    count(run, -1);
+    run.phase = phase;
+    count(run, 1);
 }
 
 }
--- a/Source/Core/Dispatch/WorkerState.h
+++ b/Source/Core/Dispatch/WorkerState.h
@@ -2,6 +2,7 @@
 
 #include "Dispatch/Orders.h"
 
+#include <array>
 #include <map>
 
 namespace Dispatch {
@@ -17,6 +18,7 @@
     /// To be stopped; counts as running until the worker reports its end.
     Stopping
 };
+constexpr std::size_t runPhases = static_cast<std::size_t>(run_phase::Stopping) + 1;
 
 /// One run of a task on a worker, until its end is known.
 struct task_run {
@@ -82,8 +84,13 @@
     Common::millicores spareProcessor() const;
     task_run& addRun(const Jobs::task_name&, const task_run&);
     void removeRun(const Jobs::task_name&);
+    /// `run` is one of `runs`.
+    void setPhase(task_run& run, run_phase);
+    /// Whether any run is in the phase.
+    bool hasRunsIn(run_phase phase) const { return m_runsInPhase[static_cast<std::size_t>(phase)] > 0; }
+    bool hasBestEffortRuns() const { return m_bestEffortRuns > 0; }
     /// Whether a long-running or a best-effort task runs here.
-    bool hasLongRunningRuns() const;
+    bool hasLongRunningRuns() const { return m_longRunningRuns > 0; }
 
 private:
     struct clock_reading {
@@ -93,9 +100,16 @@
 
     /// What a run takes from the worker's capacity; best-effort tasks take no processor.
     static Jobs::resources charge(const task_run&);
+    /// Adds the run to the counts, or removes it from them.
+    void count(const task_run&, int change);
 
     std::optional<clock_reading> m_clock;
     Jobs::resources m_used;
+    std::array<int, runPhases> m_runsInPhase {};
+    int m_longRunningRuns { 0 };
+    int m_bestEffortRuns { 0 };
+    /// Processor that best-effort tasks request.
+    Common::millicores m_bestEffortProcessor;
 };
 
 /// Durations of the leases that a leader grants to runs on workers.
--- a/Source/UnitTests/Core/Dispatch/PlacementTest.cpp
+++ b/Source/UnitTests/Core/Dispatch/PlacementTest.cpp
@@ -10,12 +10,11 @@
     const Dispatch::task_run longRunning { .request = { .processor = { 1000 } }, .isLongRunning = true };
     serving.addRun({ .job = { "a" } }, longRunning);
     busy.addRun({ .job = { "b" } }, { .request = { .processor = { 4000 } } });
-    const std::vector<Dispatch::worker_state*> workers { &busy, &serving };
+    Dispatch::placement_index workers({ &busy, &serving });
 
     auto step = dispatcher_fixture::step(1);
     const Dispatch::placement_request request { .step = &step };
-    std::int64_t examined = 0;
-    CHECK(Dispatch::chooseWorker(workers, request, examined) == &busy);
+    CHECK(workers.choose(request) == &busy);
     step.isLongRunning = true;
-    CHECK(Dispatch::chooseWorker(workers, request, examined) == &serving);
+    CHECK(workers.choose(request) == &serving);
 }
