--- a/Source/Core/Dispatch/Dispatcher.h
+++ b/Source/Core/Dispatch/Dispatcher.h
@@ -1,11 +1,13 @@
 #pragma once
 
+#include "Dispatch/JobOrder.h"
 #include "Dispatch/OpenJob.h"
 #include "Dispatch/Placement.h"
 #include "Dispatch/TeamUsage.h"
 
 #include <set>
 #include <unordered_map>
+#include <unordered_set>
 
 namespace Dispatch {
 
@@ -63,10 +65,32 @@
     std::optional<Jobs::job_state> state;
 };
 
+/// Parts of a planning pass.
+enum class plan_part {
+    Upkeep,
+    Stops,
+    Ordering,
+    Placement,
+    Sending,
+    Polls,
+    Paces,
+    End
+};
+
 class dispatch_observer {
 public:
     virtual ~dispatch_observer() = default;
     virtual void observe(const dispatch_event&) = 0;
+    /// The part begins; the part before it has ended.
+    virtual void onPlanPart(plan_part) { }
+};
+
+/// Work of the last planning pass, counted so that tests can bound it.
+struct plan_statistics {
+    /// Workers whose resources were compared with a request.
+    std::int64_t workersExamined { 0 };
+    /// Jobs that were looked at for tasks to start.
+    std::int64_t jobsExamined { 0 };
 };
 
 /// Resources requested by a pool's tasks. Best-effort tasks don't count.
@@ -146,6 +170,7 @@
     pool_demand demandOf(const Common::pool_id&, Common::wall_millis wall) const;
     dispatch_backlog backlog(Common::instant now) const;
     const std::map<Common::worker_id, worker_state>& workers() const { return m_workers; }
+    const plan_statistics& lastPlan() const { return m_lastPlan; }
     /// Stops long-running tasks of a cordoned worker, and best-effort ones, as far as disruption budgets allow.
     void evictLongRunning(const Common::worker_id&);
 
@@ -163,16 +188,28 @@
     bool isPoolReconciled(const Common::pool_id&, Common::instant now) const;
     /// Whether the worker may get new work.
     bool isSchedulable(const worker_state&, Common::instant now) const;
-    std::vector<worker_state*> schedulableWorkers(const Common::pool_id&, Common::instant now);
+    std::vector<worker_state*> schedulableWorkers(const Common::pool_id&, Common::instant now) const;
+    void updateRegistration(worker_state&, const worker_entry&, Common::instant now);
+    void indexWorker(worker_state&);
+    /// To be called before the worker's pool changes.
+    void unindexWorker(worker_state&);
+    /// All workers of the pool, in order of their ids.
+    const std::vector<worker_state*>& workersOf(const Common::pool_id&) const;
+    void indexJob(open_job&);
+    void removeJob(const Common::job_id&);
     /// Finds or creates the state of a worker that may run tasks of an earlier leader, registered or not.
     worker_state& expectWorker(const Common::worker_id&, const Common::pool_id&, Common::instant now);
-    std::vector<open_job*> jobsInOrder(const Common::pool_id&, Common::instant now, Common::wall_millis wall);
+    /// Whether the next leader will know where the job's tasks may be running.
+    bool mayGoOn(const open_job&, Common::instant now) const;
+    /// Jobs with tasks that wait and are ready, in the order in which they are placed.
+    std::vector<open_job*> startableJobs(const Common::pool_id&, Common::instant now, Common::wall_millis wall);
 
     void expireLeases(Common::instant now, const leadership_status&);
     void planStarts(const Common::pool_id&, Common::instant now, Common::wall_millis wall);
     bool mayStart(const task_state&, Common::instant now) const;
-    void planStep(open_job&, int occurrence, int step, const std::vector<worker_state*>&, Common::instant now);
-    void planGang(open_job&, int occurrence, int step, const std::vector<worker_state*>&, Common::instant now);
+    void planJob(open_job&, placement_index&, Common::instant now);
+    void planStep(open_job&, int occurrence, int step, placement_index&, Common::instant now);
+    void planGang(open_job&, int occurrence, int step, placement_index&, Common::instant now);
     placement_request requestFor(open_job&, int occurrence, int step, std::map<Common::worker_id, int>& counts);
     static task_run runOf(
         const open_job&, const Jobs::task_name&, run_number, run_phase, Common::instant now);
@@ -201,7 +238,7 @@
     worker_state* acceptReply(const Common::worker_id&, const order_reply&, Common::instant now);
     void applyReply(worker_state&, const order_reply&, Common::instant now);
     bool checkIncarnation(worker_state&, const order_reply&, Common::instant now);
-    static bool isTooLate(const open_job&, Common::wall_millis wall);
+    static bool isTooLate(open_job&, Common::wall_millis wall);
     void suspect(worker_state&, Common::instant now, Common::millis time);
     void handleEnd(worker_state&, const listed_end&, Common::instant now);
     void handleDone(open_job&, const listed_end&);
@@ -224,7 +261,13 @@
     Rules::fleet_rules m_rules;
     std::set<Common::data_centre_id> m_evacuated;
     std::map<Common::worker_id, worker_state> m_workers;
+    /// In order of their ids.
+    std::map<Common::pool_id, std::vector<worker_state*>> m_workersOfPools;
     std::unordered_map<std::string, std::unique_ptr<open_job>> m_jobs;
+    std::map<Common::pool_id, job_order> m_jobsOfPools;
+    std::unordered_set<open_job*> m_repeatedJobs;
+    /// For each job, the number of its runs on each worker that has some.
+    std::unordered_map<std::string, std::map<Common::worker_id, int>> m_runsOfJobs;
     /// Jobs without progress in the log when they were added; no earlier leader can have started them.
     std::set<std::string> m_neverStarted;
     /// Starts that haven't been sent, since the log doesn't have their placements yet.
@@ -249,6 +292,7 @@
     /// The store may not answer: jobs in progress go on without waiting for the log.
     bool m_isDegraded { true };
     bool m_isFenced { false };
+    plan_statistics m_lastPlan;
 };
 
 }
