loft-bench: measure exchanges with workers and log lines

A leader that is short of processor time falls behind, and the cost of what it does most often wasn't known.

--mode=calls makes starts and polls through the worker client to a listener on another thread, and writes log lines, and prints the processor time of each.

--- a/Source/Bench/Main.cpp
+++ b/Source/Bench/Main.cpp
@@ -1,3 +1,4 @@
+#include "Bench/Calls.h"
 #include "Bench/Latency.h"
 #include "Bench/PolicyBench.h"
 #include "Bench/Slopes.h"
@@ -8,12 +9,14 @@
 #include <sstream>
 
 // NOLINTBEGIN(readability-identifier-naming)
-DEFINE_string(mode, "policy", "policy, slopes or latency");
+DEFINE_string(mode, "policy", "policy, slopes, latency or calls");
 DEFINE_uint64(seed, 1, "seed of the load for --mode=policy");
 DEFINE_string(callers, "", "IP:PORT of daemons' listeners for callers, separated by commas");
 DEFINE_string(workers, "", "IP:PORT of workers, separated by commas");
 DEFINE_string(key, "", "key of the team that sends the load");
 DEFINE_string(queue, "", "queue to which the load is sent");
+DEFINE_int32(exchanges, 50'000, "exchanges of each kind for --mode=calls");
+DEFINE_int32(lines, 100'000, "log lines for --mode=calls");
 DEFINE_int32(threads, 16, "number of callers, each with one request at a time");
 DEFINE_int32(run_ms, 5, "run time of each task in milliseconds");
 DEFINE_int32(length_ms, 5000, "duration of each measurement in milliseconds");
@@ -53,7 +56,7 @@
 
 int main(int argc, char** argv)
 {
-    gflags::SetUsageMessage("loft-bench --mode=policy|slopes|latency: measures performance; docs/MEASURES.md has the results");
+    gflags::SetUsageMessage("loft-bench --mode=policy|slopes|latency|calls: measures performance; docs/MEASURES.md has the results");
     gflags::ParseCommandLineFlags(&argc, &argv, true);
     if (sodium_init() < 0)
         return 1;
@@ -61,6 +64,8 @@
         return runLatencyMode();
     if (FLAGS_mode == "slopes")
         Bench::runSlopes();
+    else if (FLAGS_mode == "calls")
+        Bench::runCalls({ .exchanges = FLAGS_exchanges, .lines = FLAGS_lines });
     else
         Bench::runPolicyBench(FLAGS_seed);
     return 0;
--- a/Source/Core/EventLoop/EventLoop.cpp
+++ b/Source/Core/EventLoop/EventLoop.cpp
@@ -42,6 +42,8 @@
 
 void event_loop::stop() { m_context->stop(); }
 
+void event_loop::restart() { m_context->restart(); }
+
 void event_loop::after(Common::millis delay, std::function<void()> action)
 {
     const auto timer = std::make_shared<boost::asio::steady_timer>(*m_context, delay);
--- a/Source/Core/EventLoop/EventLoop.h
+++ b/Source/Core/EventLoop/EventLoop.h
@@ -21,6 +21,8 @@
 
     void run();
     void stop();
+    /// Allows another run() after stop().
+    void restart();
     /// Calls `action` once, when at least `delay` has passed.
     void after(Common::millis delay, std::function<void()> action);
     /// Calls `action` with the signal number whenever one of the signals arrives.
