Hand leadership over to an instance with twice the room

A candidate that has at least twice the leader's room and could have led for 1.5 s stores a request. The leader agrees once the log has all placements, the store confirms it and the instance manager has answered all orders, ends its term as in a planned stop and names the successor in the release. Others wait 0.7 s for that. A leader that can't release goes on and is asked again; after a successor that didn't claim, the next leader agrees after 15 s only. Requests don't count as signs of the leader. The decisions are in LeadershipHandover, without I/O.

Tests: LeadershipHandoverTest, and the explorer with two small and two large nodes, which also checks for two confirmed leaders. "Leadership doesn't stay with a small instance while a large one could lead" and the other scenarios failed before, with no instance ever clearly larger.

--- a/Source/Core/ControlPlane/JobFeeds.cpp
+++ b/Source/Core/ControlPlane/JobFeeds.cpp
@@ -14,6 +14,7 @@
     constexpr char cancelPrefix = '~';
     constexpr auto claimKey = "@holder";
     constexpr auto releaseKey = "@released";
+    constexpr auto handoverKey = "@handover";
     constexpr auto heartbeatKey = "@sign";
     constexpr std::string_view wavePrefix = "@wave/";
 
@@ -79,9 +80,16 @@
     return { .key = heartbeatKey, .value = std::to_string(number) };
 }
 
-Records::keyed_record releaseRecord(std::int64_t number)
+Records::keyed_record releaseRecord(std::int64_t number, const std::string& successor)
 {
-    return { .key = releaseKey, .value = Common::writeJson({ { "number", number } }) };
+    return { .key = releaseKey, .value = Common::writeJson({ { "number", number }, { "successor", successor } }) };
+}
+
+Records::keyed_record handoverRecord(const handover_request& request)
+{
+    Common::json object { { "member", request.member }, { "claim", request.claim } };
+    writeCapacity(object, request.capacity);
+    return { .key = handoverKey, .value = Common::writeJson(object) };
 }
 
 Records::keyed_record waveRecord(const Capacity::wave_status& status)
@@ -126,7 +134,7 @@
 {
 }
 
-void progress_feed::apply(const Records::keyed_record& record)
+bool progress_feed::applyLeadership(const Records::keyed_record& record)
 {
     if (record.key == claimKey) {
         const auto claim = Common::parseJson(record.value);
@@ -134,14 +142,35 @@
             m_claim = { .member = claim->value("member", std::string()),
                 .number = claim->value("number", std::int64_t { 0 }),
                 .capacity = readCapacity(*claim) };
-        return;
+        return true;
     }
     if (record.key == releaseKey) {
         const auto release = Common::parseJson(record.value);
-        if (release && release->is_object())
-            m_released = std::max(m_released, release->value("number", std::int64_t { 0 }));
-        return;
+        const auto number = release && release->is_object() ? release->value("number", std::int64_t { 0 }) : 0;
+        if (number > m_released) {
+            m_released = number;
+            m_successor = release->value("successor", std::string());
+        }
+        return true;
     }
+    if (record.key == handoverKey) {
+        const auto request = Common::parseJson(record.value);
+        if (request && request->is_object())
+            m_handoverRequest = { .member = request->value("member", std::string()),
+                .claim = request->value("claim", std::int64_t { 0 }),
+                .capacity = readCapacity(*request),
+                .offset = record.offset };
+        return true;
+    }
+    return false;
+}
+
+void progress_feed::apply(const Records::keyed_record& record)
+{
+    if (record.key != handoverKey)
+        ++m_leaderRecords;
+    if (applyLeadership(record))
+        return;
     if (record.value.empty() || record.key == heartbeatKey)
         return;
     if (record.key.starts_with(wavePrefix)) {
--- a/Source/Core/ControlPlane/JobFeeds.h
+++ b/Source/Core/ControlPlane/JobFeeds.h
@@ -5,6 +5,8 @@
 #include "Jobs/JobRegistry.h"
 #include "Records/PartitionReader.h"
 
+#include <optional>
+
 namespace ControlPlane {
 
 /// Claim of leadership. Claims are numbered from 1.
@@ -15,6 +17,16 @@
     instance_capacity capacity;
 };
 
+/// A candidate with more room asks the leader for a handover.
+struct handover_request {
+    std::string member;
+    /// Number of the leader's claim.
+    std::int64_t claim { 0 };
+    instance_capacity capacity;
+    /// Set only in requests that were read.
+    Common::log_offset offset;
+};
+
 /// Records of the intake and progress topics.
 Records::keyed_record jobRecord(const Jobs::job_record&);
 Records::keyed_record cancelRecord(const Common::job_id&);
@@ -22,8 +34,10 @@
 Records::keyed_record claimRecord(const claim_record&);
 /// Heartbeat of the leader with this claim.
 Records::keyed_record heartbeatRecord(std::int64_t number);
-/// Releases the claim with this number: its leader sends no more orders, and the log has all its placements.
-Records::keyed_record releaseRecord(std::int64_t number);
+/// Releases the claim with this number: its leader sends no more orders, and the log has all its placements. Other
+/// candidates leave leadership to the successor for a limited time, if one is named.
+Records::keyed_record releaseRecord(std::int64_t number, const std::string& successor = {});
+Records::keyed_record handoverRecord(const handover_request&);
 Records::keyed_record waveRecord(const Capacity::wave_status&);
 
 /// Notified of jobs as their records are read.
@@ -59,12 +73,23 @@
     const claim_record& claim() const { return m_claim; }
     /// Number of the newest claim that was released.
     std::int64_t released() const { return m_released; }
+    /// The member that the newest release names; empty for none.
+    const std::string& successor() const { return m_successor; }
+    /// The newest request for a handover, whatever claim it is about.
+    const std::optional<handover_request>& handoverRequest() const { return m_handoverRequest; }
+    /// Number of records that leaders have stored, as far as read. Requests of candidates don't count.
+    std::uint64_t leaderRecords() const { return m_leaderRecords; }
     const std::map<std::int64_t, Capacity::wave_status>& waves() const { return m_waves; }
 
 private:
+    bool applyLeadership(const Records::keyed_record&);
+
     Jobs::job_registry& m_jobRegistry;
     claim_record m_claim;
     std::int64_t m_released { 0 };
+    std::string m_successor;
+    std::optional<handover_request> m_handoverRequest;
+    std::uint64_t m_leaderRecords { 0 };
     std::map<std::int64_t, Capacity::wave_status> m_waves;
 };
 
--- a/Source/Core/ControlPlane/LeaderElection.cpp
+++ b/Source/Core/ControlPlane/LeaderElection.cpp
@@ -14,6 +14,8 @@
     constexpr Common::millis probeDelay { 300 };
     /// Candidates are staggered by up to this time to avoid competing claims.
     constexpr std::uint64_t maxStaggerMillis = 100;
+    /// How long others leave leadership to the successor that a release names.
+    constexpr Common::millis successorWait { 700 };
     constexpr Common::millis probeTimeout { 500 };
     constexpr Common::millis claimTimeout { 1200 };
     /// Share of the leader timeout for which a record confirms leadership; the rest covers clock differences.
@@ -90,8 +92,32 @@
 {
     const Common::millis stagger { static_cast<std::int64_t>(
         Common::rendezvousRank(m_options.member, std::to_string(m_feed.claim().number)) % maxStaggerMillis) };
-    const auto delay = stagger + claimDelay(roomOf(m_options.capacity), roomOf(m_feed.claim().capacity));
-    return isVacant() ? delay : leaderTimeout + delay;
+    auto reference = roomOf(m_feed.claim().capacity);
+    const auto& request = m_feed.handoverRequest();
+    if (request && request->claim == m_feed.claim().number)
+        reference = std::max(reference, roomOf(request->capacity));
+    const auto delay = stagger + claimDelay(roomOf(m_options.capacity), reference);
+    if (!isVacant())
+        return leaderTimeout + delay;
+    if (isNamedSuccessor())
+        return Common::millis(0);
+    return m_feed.successor().empty() ? delay : successorWait + delay;
+}
+
+bool leader_election::isNamedSuccessor() const { return isVacant() && m_feed.successor() == m_options.member; }
+
+const char* leader_election::claimReason() const
+{
+    if (!isVacant())
+        return "leader_silent";
+    if (m_feed.claim().number == 0)
+        return "first_term";
+    return isNamedSuccessor() ? "named_successor" : "released";
+}
+
+bool leader_election::isLeaderActive() const
+{
+    return m_state == election_state::Standby && !isVacant() && m_timers.now() - m_quietSince < probeDelay;
 }
 
 void leader_election::watch()
@@ -102,9 +128,9 @@
     if (m_state != election_state::Standby || !m_progress.isLoaded())
         return;
     const auto now = m_timers.now();
-    const bool hasNewRecords = m_progress.next() != m_lastEnd;
+    const bool hasNewRecords = m_feed.leaderRecords() != m_seenRecords;
     if (hasNewRecords || m_quietSince == Common::instant()) {
-        m_lastEnd = m_progress.next();
+        m_seenRecords = m_feed.leaderRecords();
         m_quietSince = now;
         m_isProbed = false;
     }
@@ -130,13 +156,13 @@
 void leader_election::claim()
 {
     m_state = election_state::Claiming;
-    m_claimReason = isVacant() ? (m_feed.claim().number == 0 ? "first_term" : "released") : "leader_silent";
+    m_claimReason = claimReason();
     // The claim is stored only if the partition still ends where this instance has read to, so that no record of an
     // earlier leader is missed.
     m_progress.refresh(claimTimeout, [self = shared_from_this()](bool isRead) {
         if (self->m_state != election_state::Claiming)
             return;
-        const bool isQuiet = self->m_progress.next() == self->m_lastEnd;
+        const bool isQuiet = self->m_feed.leaderRecords() == self->m_seenRecords;
         if (isRead && !self->m_hasWithdrawn && (isQuiet || self->isVacant()))
             self->sendClaim();
         else
--- a/Source/Core/ControlPlane/LeaderElection.h
+++ b/Source/Core/ControlPlane/LeaderElection.h
@@ -44,6 +44,10 @@
     /// candidate can claim leadership.
     void confirm(Common::instant began);
     Dispatch::leadership_status status() const;
+    /// Another instance leads, and has stored a record a moment ago.
+    bool isLeaderActive() const;
+    /// It would claim leadership if that was vacant.
+    bool isCandidate() const { return m_state == election_state::Standby && !m_hasWithdrawn; }
     /// Gives up leadership or an open claim. May claim again.
     void returnToStandby();
     /// Makes no further claims.
@@ -60,6 +64,8 @@
     bool isVacant() const;
     /// Time without records of the leader after which this candidate claims.
     Common::millis claimAfter() const;
+    bool isNamedSuccessor() const;
+    const char* claimReason() const;
     /// Whether a term could be started now; logs an obstacle when it changes.
     bool canStartTerm();
     void probe();
@@ -83,7 +89,7 @@
     bool m_isProbing { false };
     /// The store has confirmed that nothing new was stored since `m_quietSince`.
     bool m_isProbed { false };
-    Common::log_offset m_lastEnd;
+    std::uint64_t m_seenRecords { 0 };
     Common::instant m_quietSince;
     Common::instant m_confirmedUntil;
 };
--- a/Source/Core/ControlPlane/LeadershipManager.cpp
+++ b/Source/Core/ControlPlane/LeadershipManager.cpp
@@ -16,6 +16,10 @@
     /// Leadership isn't released if the instance manager takes longer to answer the open orders.
     constexpr Common::millis openOrdersTimeout { 500 };
     constexpr Common::millis releasePollInterval { 20 };
+    constexpr Common::millis handoverCheckInterval { 100 };
+    constexpr Common::millis handoverRequestTimeout { 300 };
+    /// A leader that can't hand over yet tries again for this long after a request.
+    constexpr Common::millis handoverRequestLifetime { 1000 };
     constexpr auto leaderWriter = "holder";
 
 }
@@ -29,6 +33,7 @@
               .progressTopic = options.progressTopic,
               .writer = leaderWriter },
           parts.progress, parts.progressFeed))
+    , m_handoverCandidate(options.member)
 {
 }
 
@@ -41,6 +46,7 @@
 void leadership_manager::start()
 {
     m_election->start([this](const won_election& won) { onElected(won); }, [this] { return findObstacle(); });
+    watchHandovers();
 }
 
 term_obstacle leadership_manager::findObstacle() const
@@ -61,6 +67,7 @@
 void leadership_manager::onElected(const won_election& won)
 {
     m_parts.intake.setInterval(leaderIntakeInterval);
+    m_termBegan = m_parts.timers.now();
     m_term = std::make_shared<leader_term>(leader_term_parts { .store = m_parts.store,
                                                .timers = m_parts.timers,
                                                .workers = m_parts.workers,
@@ -105,7 +112,7 @@
     term.start(m_parts.progressFeed.waves());
 }
 
-void leadership_manager::endTerm()
+void leadership_manager::endTerm(const std::string& successor)
 {
     const auto term = std::exchange(m_term, nullptr);
     const bool areAllPlacementsLogged = term && term->areAllPlacementsLogged();
@@ -114,25 +121,103 @@
     m_parts.intake.setInterval(standbyIntakeInterval);
     m_election->returnToStandby();
     if (areAllPlacementsLogged)
-        release(term, m_parts.timers.now() + openOrdersTimeout);
+        release(term, successor, m_parts.timers.now() + openOrdersTimeout);
 }
 
-void leadership_manager::release(const std::shared_ptr<leader_term>& term, Common::instant until)
+void leadership_manager::release(
+    const std::shared_ptr<leader_term>& term, const std::string& successor, Common::instant until)
 {
     // Orders that the instance manager has yet to carry out would end tasks that the next leader places there.
     if (term->hasOpenOrders()) {
         if (m_parts.timers.now() < until)
-            m_parts.timers.after(releasePollInterval, [this, term, until] { release(term, until); });
+            m_parts.timers.after(
+                releasePollInterval, [this, term, successor, until] { release(term, successor, until); });
         return;
     }
     Common::writeEvent(Common::log_level::Info, Common::log_category::Membership, "leadership_released",
-        { { "number", std::to_string(term->number()) } });
+        { { "number", std::to_string(term->number()) }, { "successor", successor } });
     // After a release the next leader needn't wait for workers that don't answer it.
     const Records::append_request release { .partition = m_options.progressTopic,
-        .records = { releaseRecord(term->number()) } };
+        .records = { releaseRecord(term->number(), successor) } };
     m_parts.store.append(release, releaseTimeout, [](const auto&) {});
 }
 
+void leadership_manager::watchHandovers()
+{
+    if (m_term)
+        considerHandingOver();
+    else
+        considerRequestingHandover();
+    m_parts.timers.after(handoverCheckInterval, [this] { watchHandovers(); });
+}
+
+void leadership_manager::considerRequestingHandover()
+{
+    const auto& claim = m_parts.progressFeed.claim();
+    const auto& newest = m_parts.progressFeed.handoverRequest();
+    const bool canStartTerm
+        = m_election->isCandidate() && m_parts.progress.isLoaded() && findObstacle() == term_obstacle::None;
+    const handover_view view { .claim = claim.number,
+        .own = roomOf(m_options.capacity),
+        .leader = roomOf(claim.capacity),
+        .canStartTerm = canStartTerm,
+        .isLeaderActive = m_election->isLeaderActive(),
+        .newestRequest = newest && newest->claim == claim.number ? std::optional(newest->offset) : std::nullopt };
+    if (!m_handoverCandidate.isRequestDue(view, m_parts.timers.now()))
+        return;
+    Common::writeEvent(Common::log_level::Info, Common::log_category::Membership, "handover_requested",
+        { { "number", std::to_string(claim.number) }, { "leader", claim.member },
+            { "leader_room", std::to_string(view.leader.value) }, { "room", std::to_string(view.own.value) } });
+    const Records::append_request request { .partition = m_options.progressTopic,
+        .records = { handoverRecord(
+            { .member = m_options.member, .claim = claim.number, .capacity = m_options.capacity, .offset = {} }) } };
+    m_parts.store.append(request, handoverRequestTimeout, [](const auto&) {});
+}
+
+void leadership_manager::considerHandingOver()
+{
+    const auto request = m_parts.progressFeed.handoverRequest();
+    if (!request || request->claim != m_term->number())
+        return;
+    const auto now = m_parts.timers.now();
+    if (m_request != request->offset) {
+        m_request = request->offset;
+        m_requestSeenAt = now;
+        m_isRequestAnswered = false;
+    }
+    if (m_isRequestAnswered)
+        return;
+    const auto answer = answerHandover(roomOf(request->capacity), handoverState());
+    if (answer == handover_answer::Agreed) {
+        m_isRequestAnswered = true;
+        Common::writeEvent(Common::log_level::Info, Common::log_category::Membership, "handover_agreed",
+            { { "number", std::to_string(request->claim) }, { "successor", request->member } });
+        endTerm(request->member);
+    } else if (now - m_requestSeenAt >= handoverRequestLifetime) {
+        m_isRequestAnswered = true;
+        refuseHandover(*request, answer);
+    }
+}
+
+void leadership_manager::refuseHandover(const handover_request& request, handover_answer answer) const
+{
+    Common::writeEvent(Common::log_level::Info, Common::log_category::Membership, "handover_refused",
+        { { "number", std::to_string(request.claim) }, { "candidate", request.member }, { "reason", toText(answer) } });
+}
+
+handover_leader leadership_manager::handoverState() const
+{
+    const auto now = m_parts.timers.now();
+    const auto& feed = m_parts.progressFeed;
+    return { .room = roomOf(m_options.capacity),
+        .termAge = Common::elapsed(m_termBegan, now),
+        .followsFailedHandover = feed.released() + 1 == m_term->number() && !feed.successor().empty()
+            && feed.successor() != m_options.member,
+        .isConfirmed = m_election->status().isConfirmed(now),
+        .arePlacementsLogged = m_term->areAllPlacementsLogged(),
+        .hasOpenOrders = m_term->hasOpenOrders() };
+}
+
 void leadership_manager::setRules(const Rules::fleet_rules& rules)
 {
     m_rules = rules;
--- a/Source/Core/ControlPlane/LeadershipManager.h
+++ b/Source/Core/ControlPlane/LeadershipManager.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "ControlPlane/LeaderTerm.h"
+#include "ControlPlane/LeadershipHandover.h"
 #include "ControlPlane/Listeners.h"
 #include "Records/PartitionReaderGroup.h"
 
@@ -42,6 +43,7 @@
     void start();
     /// Releases leadership and makes no further claims.
     void stepDown();
+    bool isConfirmedLeader() const { return m_election->status().isConfirmed(m_parts.timers.now()); }
     void setRules(const Rules::fleet_rules&);
     void setEvacuated(const std::set<Common::data_centre_id>&);
     void setWaves(const std::map<std::int64_t, Rules::maintenance_wave>&);
@@ -64,13 +66,24 @@
     void readJobs(const std::shared_ptr<leader_term>&, bool areWorkersRead);
     void startDispatching(leader_term&);
     /// Ends the term, if any, and releases it when the log has all placements.
-    void endTerm();
-    void release(const std::shared_ptr<leader_term>&, Common::instant until);
+    void endTerm(const std::string& successor = {});
+    void release(const std::shared_ptr<leader_term>&, const std::string& successor, Common::instant until);
+    void watchHandovers();
+    void considerRequestingHandover();
+    void considerHandingOver();
+    handover_leader handoverState() const;
+    void refuseHandover(const handover_request&, handover_answer) const;
 
     leadership_parts m_parts;
     leadership_options m_options;
     std::shared_ptr<leader_election> m_election;
     std::shared_ptr<leader_term> m_term;
+    Common::instant m_termBegan;
+    handover_candidate m_handoverCandidate;
+    /// The newest request to this leader, when it was read, and whether it was answered.
+    std::optional<Common::log_offset> m_request;
+    Common::instant m_requestSeenAt;
+    bool m_isRequestAnswered { false };
     std::optional<Rules::fleet_rules> m_rules;
     std::set<Common::data_centre_id> m_evacuated;
     std::map<std::int64_t, Rules::maintenance_wave> m_waves;
--- a/Source/UnitTests/Core/Explorer/ClusterSimulation.cpp
+++ b/Source/UnitTests/Core/Explorer/ClusterSimulation.cpp
@@ -62,7 +62,9 @@
                                                                               .workerList = *m_workerList,
                                                                               .intake = *m_intake,
                                                                               .eventCounters = m_eventCounters },
-            ControlPlane::leadership_options { .member = m_member, .progressTopic = progressPartition });
+            ControlPlane::leadership_options { .member = m_member,
+                .capacity = m_simulation.capacityOf(m_number),
+                .progressTopic = progressPartition });
         m_leadership->setRules(m_simulation.rules());
         for (const auto& entry : m_simulation.workerEntries())
             m_leadership->workerRegistered(entry);
@@ -70,6 +72,7 @@
     }
 
     void kill() { m_isAlive = false; }
+    bool isConfirmedLeader() const { return m_isAlive && m_leadership->isConfirmedLeader(); }
     void handOver() { m_leadership->stepDown(); }
     void workerRegistered(const Dispatch::worker_entry& entry) { m_leadership->workerRegistered(entry); }
     const Jobs::job_registry& jobs() const { return m_jobs; }
@@ -321,6 +324,7 @@
     const auto step = [this] {
         m_timers.advance(stepTime);
         tickWorkers();
+        checkLeaders();
         ++m_steps;
     };
     const auto faultsUntil = m_timers.now() + m_options.faultTime;
@@ -361,6 +365,47 @@
         [](const auto& record) { return record.key == "@holder"; }));
 }
 
+int cluster_simulation::handovers() const
+{
+    const auto progressLog = m_store.partitions.find(progressPartition);
+    if (progressLog == m_store.partitions.end())
+        return 0;
+    const auto& records = progressLog->second.records;
+    return static_cast<int>(std::count_if(records.begin(), records.end(), [](const auto& record) {
+        Jobs::job_registry unused;
+        ControlPlane::progress_feed feed(unused);
+        if (record.key == "@released")
+            feed.apply(record);
+        return !feed.successor().empty();
+    }));
+}
+
+std::optional<int> cluster_simulation::lastClaimer() const
+{
+    const auto progressLog = m_store.partitions.find(progressPartition);
+    if (progressLog == m_store.partitions.end() || !progressLog->second.newest.contains("@holder"))
+        return std::nullopt;
+    Jobs::job_registry unused;
+    ControlPlane::progress_feed feed(unused);
+    feed.apply(progressLog->second.newest.at("@holder"));
+    // Members are named n, the number of the node, a hyphen and the number of the incarnation.
+    return std::stoi(feed.claim().member.substr(1));
+}
+
+ControlPlane::instance_capacity cluster_simulation::capacityOf(int node) const
+{
+    const auto index = static_cast<std::size_t>(node);
+    return index < m_options.capacities.size() ? m_options.capacities[index] : ControlPlane::instance_capacity();
+}
+
+void cluster_simulation::checkLeaders()
+{
+    const auto leaders = std::count_if(
+        m_nodes.begin(), m_nodes.end(), [](const auto& node) { return node.second->isConfirmedLeader(); });
+    if (leaders > 1 && m_violation.empty())
+        m_violation = std::to_string(leaders) + " leaders";
+}
+
 void cluster_simulation::onRunStarted(const std::string& worker, const Jobs::task_name& task, Dispatch::run_number run)
 {
     const auto text = task.job.value + '.' + std::to_string(task.step) + '.' + std::to_string(task.index) + " run "
--- a/Source/UnitTests/Core/Explorer/ClusterSimulation.h
+++ b/Source/UnitTests/Core/Explorer/ClusterSimulation.h
@@ -3,12 +3,15 @@
 #include "ControlPlane/LeadershipManager.h"
 #include "SimulatedWorker.h"
 
+#include <optional>
 #include <random>
 
 struct simulation_options {
     std::uint64_t seed { 0 };
     int nodes { 3 };
     int workers { 4 };
+    /// Of each node, in order; nodes beyond the end have the default.
+    std::vector<ControlPlane::instance_capacity> capacities;
     /// Time during which faults are injected.
     Common::millis faultTime { 25000 };
     /// Time after the end of all faults within which all jobs must complete.
@@ -29,6 +32,11 @@
     std::size_t steps() const { return m_steps; }
     /// Number of leadership claims in the log.
     int takeovers() const;
+    /// Number of planned releases that named a successor.
+    int handovers() const;
+    /// Node that made the newest claim; empty before the first.
+    std::optional<int> lastClaimer() const;
+    ControlPlane::instance_capacity capacityOf(int node) const;
 
     void onRunStarted(const std::string& worker, const Jobs::task_name&, Dispatch::run_number) override;
     void onRunEnded(const std::string& worker, const Jobs::task_name&, Dispatch::end_kind) override;
@@ -50,6 +58,8 @@
     void clearFaultLater(std::uint64_t maxExtraMillis, std::function<void()> clearFault);
     void clearFaults();
     std::string checkJobsCompleted();
+    /// At most one node may be confirmed as the leader.
+    void checkLeaders();
 
     simulation_options m_options;
     std::mt19937_64 m_random;
--- a/Source/UnitTests/Core/Explorer/ClusterSimulationTest.cpp
+++ b/Source/UnitTests/Core/Explorer/ClusterSimulationTest.cpp
@@ -16,6 +16,33 @@
 
 }
 
+namespace {
+
+constexpr ControlPlane::instance_capacity largeCapacity { .processor = { 500 }, .link = { 200 } };
+constexpr ControlPlane::instance_capacity smallCapacity { .processor = { 120 }, .link = { 10 } };
+
+}
+
+TEST_CASE("Under random faults among instances of different capacity, no task runs twice, and a large one leads at the end", "[explorer]")
+{
+    const auto first = numberFrom("LOFT_EXPLORER_FIRST", 1);
+    const auto seeds = numberFrom("LOFT_EXPLORER_SEEDS", defaultSeeds);
+    int handovers = 0;
+    for (auto seed = first; seed < first + seeds; ++seed) {
+        cluster_simulation simulation(
+            { .seed = seed, .nodes = 4, .capacities = { smallCapacity, largeCapacity, smallCapacity, largeCapacity } });
+        const auto violation = simulation.run();
+        INFO("LOFT_EXPLORER_FIRST=" << seed << " LOFT_EXPLORER_SEEDS=1");
+        CHECK(violation == std::string());
+        const auto leader = simulation.lastClaimer();
+        REQUIRE(leader);
+        CHECK(simulation.capacityOf(*leader) == largeCapacity);
+        handovers += simulation.handovers();
+    }
+    CHECK(handovers > 0);
+    WARN(handovers << " handovers");
+}
+
 TEST_CASE("Under random faults no task runs twice and each job completes", "[explorer]")
 {
     const auto first = numberFrom("LOFT_EXPLORER_FIRST", 1);
