--- a/Source/UnitTests/Core/ControlPlane/LeadershipFixture.h
+++ b/Source/UnitTests/Core/ControlPlane/LeadershipFixture.h
@@ -107,7 +107,8 @@
                 .progress = *progressReader,
                 .workerList = *workerList,
                 .intake = *intake,
-                .eventCounters = eventCounters },
+                .eventCounters = eventCounters,
+                .health = health },
             options);
         manager->workerRegistered(worker());
         manager->start();
@@ -155,11 +156,11 @@
         if (*isAlive)
             fixture.store.append(request, timeout, whileAlive(std::move(handler)));
     }
-    void read(const Records::topic_partition& source, Common::log_offset from, Common::millis wait, Common::millis timeout,
+    void read(const Records::read_request& request, Common::millis timeout,
         std::function<void(Records::read_result)> handler) override
     {
         if (*isAlive)
-            fixture.store.read(source, from, wait, timeout, whileAlive(std::move(handler)));
+            fixture.store.read(request, timeout, whileAlive(std::move(handler)));
     }
     void newest(const Records::topic_partition& source, const std::string& afterKey, Common::millis timeout,
         std::function<void(Records::newest_result)> handler) override
@@ -173,6 +174,9 @@
     null_sink nullSink;
     Jobs::job_registry jobRegistry;
     ControlPlane::counters eventCounters;
+    ControlPlane::load_monitor load;
+    ControlPlane::view_monitor views { *this };
+    ControlPlane::leader_health health { .load = load, .views = views };
     ControlPlane::intake_feed intakeFeed { jobRegistry, *this };
     ControlPlane::progress_feed progressFeed { jobRegistry };
     std::shared_ptr<Records::partition_reader> progressReader;
