A page of newest records that an outage swallowed is requested again at its end

A page whose timeout had grown to 6 s was waited for that long although the store was back: "An instance that hasn't read the jobs claims no leadership" failed with it, as the instance had not loaded 5 s after an outage of 5 s. While a page takes longer than the usual timeout, a small read now tells whether the store answers at all, and once after a silence the page is requested again. Test: "A reader loads soon after an outage of the store, however long the outage was".

--- a/Source/Core/Records/PartitionReader.cpp
+++ b/Source/Core/Records/PartitionReader.cpp
@@ -40,13 +40,48 @@
 {
     const auto began = m_timers.now();
     const auto afterKey = m_newest.empty() ? std::string() : m_newest.back().key;
+    const auto number = ++m_pages;
+    m_isPageOpen = true;
     m_store.newest(m_options.partition, afterKey, m_pageTimeout,
-        [self = shared_from_this(), began](const newest_result& page) { self->onPage(page, began); });
+        [self = shared_from_this(), began, number](const newest_result& page) {
+            if (self->m_pages == number)
+                self->onPage(page, began);
+        });
+    if (m_pageTimeout > m_options.timeoutMargin)
+        probeStore(number);
+}
+
+void partition_reader::probeStore(std::uint64_t page)
+{
+    m_timers.after(m_options.timeoutMargin, [self = shared_from_this(), page] {
+        if (!self->m_isPageOpen || self->m_pages != page)
+            return;
+        self->m_store.read({ .partition = self->m_options.partition, .maxBytes = self->m_options.minBytes },
+            self->m_options.timeoutMargin, [self, page](const read_result& result) {
+                self->onProbe(page, result.outcome != read_outcome::Failed);
+            });
+    });
+}
+
+void partition_reader::onProbe(std::uint64_t page, bool isAnswered)
+{
+    m_wasSilent = m_wasSilent || !isAnswered;
+    if (!m_isPageOpen || m_pages != page)
+        return;
+    if (isAnswered && m_wasSilent && m_mayRequestAgain) {
+        m_wasSilent = false;
+        m_mayRequestAgain = false;
+        readPage();
+    } else {
+        probeStore(page);
+    }
 }
 
 void partition_reader::onPage(const newest_result& page, Common::instant began)
 {
+    m_isPageOpen = false;
     if (!page.isRead) {
+        m_mayRequestAgain = true;
         if (Common::elapsed(began, m_timers.now()) >= m_pageTimeout)
             m_pageTimeout = std::min(m_pageTimeout * adaptationFactor, m_options.maxPageTimeout);
         m_timers.after(retryDelay, [self = shared_from_this()] { self->readPage(); });
@@ -67,6 +102,8 @@
     m_newest.clear();
     m_newestEnd.reset();
     m_pageTimeout = m_options.timeoutMargin;
+    m_wasSilent = false;
+    m_mayRequestAgain = true;
     m_isLoaded = true;
     confirm(began);
     m_sink.batchApplied();
--- a/Source/Core/Records/PartitionReader.h
+++ b/Source/Core/Records/PartitionReader.h
@@ -63,6 +63,10 @@
     void startOver();
     void readPage();
     void onPage(const newest_result&, Common::instant began);
+    /// Asks a store that takes long for a page whether it answers at all. A page that was requested during an outage is
+    /// requested again when the outage is over, instead of at the page's timeout.
+    void probeStore(std::uint64_t page);
+    void onProbe(std::uint64_t page, bool isAnswered);
     void readNext();
     read_request nextRequest(Common::millis wait) const;
     void adaptLimit(const read_result&, Common::instant began);
@@ -82,6 +86,12 @@
     /// Timeout of the next page, and limit of the next read.
     Common::millis m_pageTimeout;
     std::size_t m_maxBytes;
+    /// Counts the requests for pages, so that the answer to one that was given up has no effect.
+    std::uint64_t m_pages { 0 };
+    bool m_isPageOpen { false };
+    /// The store didn't answer a probe, and no page was requested again because of that yet.
+    bool m_wasSilent { false };
+    bool m_mayRequestAgain { true };
     Common::log_offset m_next;
     bool m_isLoaded { false };
     bool m_isDelayed { false };
--- a/Source/UnitTests/Core/Records/PartitionReaderTest.cpp
+++ b/Source/UnitTests/Core/Records/PartitionReaderTest.cpp
@@ -191,3 +191,16 @@
     CHECK(s.reader->isLoaded());
     CHECK(s.sink.values.size() == 1200);
 }
+
+TEST_CASE("A reader loads soon after an outage of the store, however long the outage was", "[records]")
+{
+    reader_fixture s;
+    s.store.put(s.topic, "a", "1");
+    s.store.fault = fake_store::simulated_fault::Silent;
+    s.reader->start();
+    const auto outage = GENERATE(2000, 5000, 9000, 20000);
+    s.timers.advance(Common::millis(outage));
+    s.store.fault = fake_store::simulated_fault::None;
+    s.timers.advance(Common::millis(3500));
+    CHECK(s.reader->isLoaded());
+}
