Send stops and polls before starts, and no starts while the loop is behind

Callers saw tasks of a cancelled job start, and tasks start on workers that had reported seconds before that they drain, while an overloaded instance led. When its event loop was behind, a leader planned with what it had read before, and sent the starts of that plan in front of stops that came after and of the polls that renew leases.

Polls are sent after stops and before starts. While the load monitor finds the loop behind (also by the lateness of the planning timer itself) planned starts stay planned; they are checked again before they are sent. A gang is sent completely or not at all.

--- a/Source/Core/ControlPlane/LeaderTerm.cpp
+++ b/Source/Core/ControlPlane/LeaderTerm.cpp
@@ -3,6 +3,8 @@
 #include "Common/Logging.h"
 #include "ControlPlane/JobFeeds.h"
 
+#include <limits>
+
 namespace ControlPlane {
 
 namespace {
@@ -315,20 +317,28 @@
     // Plan instances first, so that a worker that is about to leave gets no more starts.
     if (m_capacity)
         m_capacity->plan(leadership.isConfirmed(m_parts.timers.now()));
+    m_dispatcher.limitStarts(startRoom());
     sendOrders(m_dispatcher.plan(m_parts.timers.now(), Common::wallNow(), leadership));
     flush();
     if (m_dispatcher.isFenced())
         loseLeadership("fenced_by_worker");
 }
 
+int leader_term::startRoom() const
+{
+    // What arrived meanwhile may forbid the start.
+    return m_parts.health.load.isBehind() ? 0 : std::numeric_limits<int>::max();
+}
+
 void leader_term::sendOrders(const Dispatch::dispatch_orders& orders)
 {
     for (const auto& order : orders.stops)
         sendStop(order);
-    for (const auto& order : orders.starts)
-        sendStart(order);
+    // Only starts can wait: what runs has to be stopped or renewed in time.
     for (const auto& order : orders.polls)
         sendPoll(order);
+    for (const auto& order : orders.starts)
+        sendStart(order);
     for (const auto& order : orders.paces)
         sendPace(order);
 }
--- a/Source/Core/ControlPlane/LeaderTerm.h
+++ b/Source/Core/ControlPlane/LeaderTerm.h
@@ -79,6 +79,8 @@
     void closeStaleConnections();
     void schedulePlan();
     void planAndSend();
+    /// How many starts may be sent now.
+    int startRoom() const;
     void sendOrders(const Dispatch::dispatch_orders&);
     void sendStart(const Dispatch::start_order&);
     void sendStop(const Dispatch::stop_order&);
--- a/Source/Core/Dispatch/Dispatcher.h
+++ b/Source/Core/Dispatch/Dispatcher.h
@@ -4,6 +4,7 @@
 #include "Dispatch/Placement.h"
 #include "Dispatch/TeamUsage.h"
 
+#include <limits>
 #include <set>
 #include <unordered_map>
 
@@ -124,6 +125,8 @@
     void addJob(const Jobs::job_record&, const Jobs::job_progress&, Common::instant now);
     void cancelJob(const Common::job_id&);
 
+    /// How many starts the next plans may send. The others stay planned, and a gang is sent completely or not at all.
+    void limitStarts(int room) { m_startRoom = room; }
     dispatch_orders plan(Common::instant now, Common::wall_millis wall, const leadership_status&);
     void onStart(const start_order&, const order_reply&, Common::instant now);
     void onStop(const stop_order&, const order_reply&, Common::instant now);
@@ -180,6 +183,7 @@
     void planStart(open_job&, const Jobs::task_name&, worker_state&, run_number, Common::instant now);
     void sendStarts(Common::instant now, dispatch_orders&);
     bool maySend(const placement&, Common::instant now);
+    void sendStart(const placement&, Common::instant now, dispatch_orders&);
     task_run* findRun(const placement&);
     task_run* findPlanned(const placement&);
     void releaseUnsent(Common::instant now);
@@ -229,6 +233,7 @@
     std::set<std::string> m_neverStarted;
     /// Starts that haven't been sent, since the log doesn't have their placements yet.
     std::vector<placement> m_pendingStarts;
+    int m_startRoom { std::numeric_limits<int>::max() };
     team_usage m_usage;
     /// Jobs whose progress has to be stored.
     std::set<std::string> m_dirty;
--- a/Source/Core/Dispatch/DispatcherPlacements.cpp
+++ b/Source/Core/Dispatch/DispatcherPlacements.cpp
@@ -74,6 +74,7 @@
         if (job && job->spec(planned.task).isGang && findPlanned(planned) && !maySend(planned, now))
             incompleteGangs.push_back(planned.task);
     }
+    std::optional<Jobs::task_name> lastSent;
     for (const auto& planned : pending) {
         auto* run = findPlanned(planned);
         if (!run)
@@ -91,19 +92,34 @@
             releaseRun(worker, planned.task, now);
             continue;
         }
-        run->phase = run_phase::Starting;
-        run->isSent = true;
-        run->startedAt = now;
-        run->progressedAt = now;
-        orders.starts.push_back({ .worker = { worker.entry.id, worker.entry.address },
-            .task = planned.task,
-            .run = planned.run,
-            .payload = job->record().spec.payload,
-            .checkpoint = job->find(planned.task)->checkpoint,
-            .deadline = worker.grantLease(now, m_currentLease) });
+        const bool completesGang = job->spec(planned.task).isGang && lastSent && isSameStep(*lastSent, planned.task);
+        if (m_startRoom <= 0 && !completesGang) {
+            m_pendingStarts.push_back(planned);
+            continue;
+        }
+        --m_startRoom;
+        lastSent = planned.task;
+        sendStart(planned, now, orders);
     }
 }
 
+void dispatcher::sendStart(const placement& planned, Common::instant now, dispatch_orders& orders)
+{
+    auto& run = *findPlanned(planned);
+    auto& job = *findJob(planned.task.job);
+    auto& worker = m_workers.at(planned.worker);
+    run.phase = run_phase::Starting;
+    run.isSent = true;
+    run.startedAt = now;
+    run.progressedAt = now;
+    orders.starts.push_back({ .worker = { worker.entry.id, worker.entry.address },
+        .task = planned.task,
+        .run = planned.run,
+        .payload = job.record().spec.payload,
+        .checkpoint = job.find(planned.task)->checkpoint,
+        .deadline = worker.grantLease(now, m_currentLease) });
+}
+
 void dispatcher::releaseUnsent(Common::instant now)
 {
     for (auto& [id, worker] : m_workers) {
--- /dev/null
+++ b/Source/UnitTests/Core/ControlPlane/OverloadedLeaderTest.cpp
@@ -0,0 +1,323 @@
+#include "../Records/FakeStore.h"
+#include "ControlPlane/LeaderTerm.h"
+
+#include <catch2/catch.hpp>
+
+namespace {
+
+const Records::topic_partition progressPartition { "keyed.progress", 0 };
+const Records::topic_partition workerPartition { "keyed.workers", 0 };
+
+constexpr int workerCount = 60;
+constexpr int tasksPerWorker = 8;
+/// Longest time from the sending of a start to its beginning on the worker that the tests accept.
+constexpr Common::millis acceptedStartDelay { 1000 };
+
+/// Workers behind a link that carries one order at a time. An order that is given up is carried out all the same.
+struct slow_link : Dispatch::worker_gateway {
+    struct running_task {
+        Dispatch::run_number run;
+        Common::instant beganAt;
+    };
+
+    struct worker_model {
+        std::map<Jobs::task_name, running_task> running;
+        std::vector<Dispatch::listed_end> ended;
+        std::int64_t lastEnd { 0 };
+        Common::instant leaseEnd;
+    };
+
+    explicit slow_link(manual_timers& owner)
+        : timers(owner)
+    {
+    }
+
+    Dispatch::order_reply reply(Dispatch::order_outcome outcome) const
+    {
+        return { .outcome = outcome, .clock = clock(), .incarnationStartedAt = Common::wall_millis { 1 } };
+    }
+
+    Dispatch::worker_millis clock() const
+    {
+        return { std::chrono::duration_cast<Common::millis>(timers.now().time_since_epoch()).count() };
+    }
+
+    static Common::instant toInstant(Dispatch::worker_millis time) { return Common::instant(Common::millis(time.value)); }
+
+    template <typename Execute, typename Handler, typename Result>
+    void send(Common::millis timeout, Execute execute, Handler handler, Result noAnswer)
+    {
+        timers.clock += processorTime;
+        busyUntil = std::max(busyUntil, timers.now()) + orderTime;
+        const auto sentAt = timers.now();
+        const bool isAnswered = busyUntil + answerTime <= sentAt + timeout;
+        if (!isAnswered)
+            timers.after(timeout, [handler, noAnswer] { handler(noAnswer); });
+        timers.after(Common::elapsed(sentAt, busyUntil), [this, execute, handler, isAnswered] {
+            const auto result = execute();
+            if (isAnswered)
+                timers.after(answerTime, [handler, result] { handler(result); });
+        });
+    }
+
+    void start(const Dispatch::start_order& order, Dispatch::fencing_token, Common::millis timeout,
+        reply_handler handler) override
+    {
+        send(
+            timeout, [this, order, sentAt = timers.now()] { return begin(order, sentAt); }, std::move(handler),
+            Dispatch::order_reply { .outcome = Dispatch::order_outcome::NoAnswer });
+    }
+
+    Dispatch::order_reply begin(const Dispatch::start_order& order, Common::instant sentAt)
+    {
+        if (timers.now() > toInstant(order.deadline))
+            return reply(Dispatch::order_outcome::DeadlinePassed);
+        auto& worker = workers[order.worker.id];
+        worker.running[order.task] = { .run = order.run, .beganAt = timers.now() };
+        worker.leaseEnd = std::max(worker.leaseEnd, toInstant(order.deadline));
+        ++begun;
+        slowestStart = std::max(slowestStart, Common::elapsed(sentAt, timers.now()));
+        if (forbiddenSince.contains(order.task.job.value))
+            latestForbidden = std::max(
+                latestForbidden, Common::elapsed(forbiddenSince.at(order.task.job.value), timers.now()));
+        if (drainedSince.contains(order.worker.id))
+            latestOnDrained
+                = std::max(latestOnDrained, Common::elapsed(drainedSince.at(order.worker.id), timers.now()));
+        return reply(Dispatch::order_outcome::Done);
+    }
+
+    void stop(const Dispatch::stop_order& order, Dispatch::fencing_token, Common::millis timeout,
+        reply_handler handler) override
+    {
+        send(
+            timeout,
+            [this, order] {
+                end(workers[order.worker.id], order.task, Dispatch::end_kind::Stopped);
+                return reply(Dispatch::order_outcome::Done);
+            },
+            std::move(handler), Dispatch::order_reply { .outcome = Dispatch::order_outcome::NoAnswer });
+    }
+
+    static void end(worker_model& worker, const Jobs::task_name& task, Dispatch::end_kind kind)
+    {
+        const auto found = worker.running.find(task);
+        if (found == worker.running.end())
+            return;
+        worker.ended.push_back({ .number = { ++worker.lastEnd }, .task = task, .run = found->second.run, .kind = kind });
+        worker.running.erase(found);
+    }
+
+    void pace(const Dispatch::pace_order&, Dispatch::fencing_token, Common::millis, reply_handler) override { }
+
+    void poll(const Dispatch::poll_order& order, Dispatch::fencing_token, Common::millis timeout,
+        std::function<void(Dispatch::poll_order_reply)> handler) override
+    {
+        send(
+            timeout, [this, order] { return list(order); },
+            [this, handler, wait = order.wait](const Dispatch::poll_order_reply& result) {
+                // A long poll without news is answered after its wait.
+                if (result.ended.empty() && result.base.outcome == Dispatch::order_outcome::Done)
+                    timers.after(wait, [handler, result] { handler(result); });
+                else
+                    handler(result);
+            },
+            Dispatch::poll_order_reply { .base = { .outcome = Dispatch::order_outcome::NoAnswer } });
+    }
+
+    Dispatch::poll_order_reply list(const Dispatch::poll_order& order)
+    {
+        auto& worker = workers[order.worker.id];
+        if (order.deadline)
+            worker.leaseEnd = std::max(worker.leaseEnd, toInstant(*order.deadline));
+        std::erase_if(
+            worker.ended, [&order](const auto& ended) { return ended.number <= order.acknowledgedEnd; });
+        Dispatch::poll_order_reply result { .base = reply(Dispatch::order_outcome::Done), .ended = worker.ended };
+        for (const auto& [task, run] : worker.running)
+            result.running.push_back({ .task = task, .run = run.run, .percent = { percent(run) } });
+        return result;
+    }
+
+    std::int64_t percent(const running_task& run) const
+    {
+        return std::min<std::int64_t>(99, Common::elapsed(run.beganAt, timers.now()).count() / 100);
+    }
+
+    void keepOnly(const std::vector<Common::worker_id>&) override { }
+
+    int running(const std::string& job) const
+    {
+        int count = 0;
+        for (const auto& [id, worker] : workers) {
+            for (const auto& [task, run] : worker.running)
+                count += task.job.value == job && worker.leaseEnd > timers.now() ? 1 : 0;
+        }
+        return count;
+    }
+
+    manual_timers& timers;
+    /// Time that an order takes on the link, and of the leader's processor.
+    Common::millis orderTime { 0 };
+    Common::millis processorTime { 0 };
+    Common::millis answerTime { 2 };
+    Common::instant busyUntil;
+    std::map<Common::worker_id, worker_model> workers;
+    std::map<std::string, Common::instant> forbiddenSince;
+    std::map<Common::worker_id, Common::instant> drainedSince;
+    int begun { 0 };
+    Common::millis slowestStart { 0 };
+    /// Longest time after its cancellation that a task of a job began, and that a task began on a draining worker.
+    Common::millis latestForbidden { 0 };
+    Common::millis latestOnDrained { 0 };
+};
+
+struct no_status : ControlPlane::operator_format {
+    Records::keyed_record waveStatus(std::int64_t, bool) const override { return {}; }
+};
+
+/// The registrations of the workers; the value tells whether the worker drains.
+struct registration_feed : Records::record_sink {
+    void reset() override { }
+    void apply(const Records::keyed_record& record) override { onRecord(record); }
+
+    std::function<void(const Records::keyed_record&)> onRecord;
+};
+
+/// A leader of many workers that are reached through a slow link.
+struct overload_fixture {
+    overload_fixture()
+    {
+        registrations.onRecord = [this](const auto& record) { registered(record); };
+        reader->start();
+        workerReader->start();
+        views.add(ControlPlane::view_kind::Registrations, workerReader);
+        election->start([this](const ControlPlane::won_election& won) { onElected(won); });
+        timers.advance(Common::millis(400));
+        REQUIRE(term);
+        startDispatching();
+        // The workers report for the first time.
+        timers.advance(Common::millis(1000));
+    }
+    ~overload_fixture() { term->stop(); }
+
+    void onElected(const ControlPlane::won_election& won)
+    {
+        term = std::make_shared<ControlPlane::leader_term>(
+            ControlPlane::leader_term_parts { .store = store,
+                .timers = timers,
+                .workers = link,
+                .operatorFormat = format,
+                .jobRegistry = jobRegistry,
+                .election = *election,
+                .progress = feed,
+                .eventCounters = eventCounters,
+                .health = health },
+            ControlPlane::leader_term_options { .token = { won.token },
+                .number = won.number,
+                .progressTopic = progressPartition,
+                .writer = "holder" },
+            [this] { ++lost; });
+        term->startHeartbeats();
+    }
+
+    static std::string workerName(int number) { return 'w' + std::to_string(number); }
+
+    void registered(const Records::keyed_record& record) const
+    {
+        if (term)
+            term->workerRegistered({ .id = { record.key },
+                                       .pool = { "pool" },
+                                       .address = { "127.0.0.1", 1 },
+                                       .capacity = { .processor = { tasksPerWorker * 1000 }, .memory = { 1000 } },
+                                       .isDraining = record.value == "draining",
+                                       .incarnationStartedAt = { 1 } },
+                timers.now());
+    }
+
+    void startDispatching()
+    {
+        Rules::fleet_rules rules;
+        rules.pools = { { .id = { "pool" }, .checksCapacity = true } };
+        rules.queues = { { .id = { "q" }, .host = "h", .pathPrefix = "/q/", .pool = { "pool" }, .maxAttempts = 2 } };
+        term->setRules(rules);
+        for (int number = 0; number < workerCount; ++number)
+            store.put(workerPartition, workerName(number), "ready");
+        timers.advance(Common::millis(100));
+        term->start({});
+    }
+
+    void accept(const std::string& id, int tasks)
+    {
+        jobRegistry.accept({ .id = { id },
+            .queue = { "q" },
+            .spec = { .steps = { { .count = tasks, .request = { .processor = { 1000 } }, .estimate = Common::millis(9000) } } } });
+        term->jobAccepted({ id });
+    }
+
+    /// The job's cancellation was acknowledged; the leader reads it at once.
+    void cancel(const std::string& id)
+    {
+        link.forbiddenSince[id] = timers.now();
+        jobRegistry.cancel({ id });
+        term->jobCancelled({ id });
+    }
+
+    /// The worker reports that it drains; the leader has yet to read that.
+    void drain(int worker)
+    {
+        link.drainedSince[{ workerName(worker) }] = timers.now();
+        store.put(workerPartition, workerName(worker), "draining");
+    }
+
+    manual_timers timers;
+    fake_store store { timers };
+    slow_link link { timers };
+    no_status format;
+    ControlPlane::counters eventCounters;
+    ControlPlane::load_monitor load;
+    ControlPlane::view_monitor views { timers };
+    ControlPlane::leader_health health { .load = load, .views = views };
+    Jobs::job_registry jobRegistry;
+    ControlPlane::progress_feed feed { jobRegistry };
+    registration_feed registrations;
+    std::shared_ptr<Records::partition_reader> reader = std::make_shared<Records::partition_reader>(store, timers,
+        Records::partition_reader_options { .partition = progressPartition, .interval = Common::millis(50) }, feed);
+    std::shared_ptr<Records::partition_reader> workerReader = std::make_shared<Records::partition_reader>(store, timers,
+        Records::partition_reader_options { .partition = workerPartition, .interval = Common::millis(50) }, registrations);
+    std::shared_ptr<ControlPlane::leader_election> election = std::make_shared<ControlPlane::leader_election>(store, timers,
+        ControlPlane::election_options { .member = "m", .progressTopic = progressPartition, .writer = "holder" }, *reader, feed);
+    std::shared_ptr<ControlPlane::leader_term> term;
+    int lost { 0 };
+};
+
+}
+
+TEST_CASE("A leader whose event loop is behind sends stops, but no starts", "[overload]")
+{
+    overload_fixture s;
+    s.accept("early", 10);
+    s.timers.advance(Common::millis(500));
+    REQUIRE(s.link.running("early") == 10);
+    s.accept("late", 10);
+    s.cancel("early");
+
+    SECTION("a worker that began to drain meanwhile gets no task")
+    {
+        // The loop stalls, and a worker drains during the stall.
+        s.drain(0);
+        s.timers.clock += std::chrono::seconds(4);
+        s.timers.advance(Common::millis(50));
+        CHECK(s.link.begun == 10);
+        CHECK(s.link.running("early") == 0);
+        s.timers.advance(std::chrono::seconds(2));
+        CHECK(s.link.begun == 20);
+        CHECK(s.link.latestOnDrained == Common::millis(0));
+    }
+    SECTION("starts go on once it has caught up")
+    {
+        s.timers.clock += Common::millis(400);
+        s.timers.advance(Common::millis(50));
+        CHECK(s.link.begun == 10);
+        s.timers.advance(std::chrono::seconds(2));
+        CHECK(s.link.begun == 20);
+    }
+}
