Limit the unanswered starts of a leader by an adaptive window

A leader sent all starts of a plan at once, however many answers were outstanding. On an instance whose processor or link is too slow for them the orders queued: starts began seconds after they were decided, also those of jobs that had been cancelled meanwhile, polls that renew leases came too late so that what had started was lost, and stops waited behind starts.

A window limits the unanswered starts. Starts beyond it stay planned. `leader_load` shows the window.

New tests: "Starts don't queue in front of a link that is too slow for them" (60 workers, 480 tasks, 6 ms an order on the link) failed before: a start began 2,880 ms after it was sent, no task was left running, a task of a cancelled job began 1,500 ms after the cancellation and 332 ran on 1.5 s after it. Now all 480 run after 30 s. "A leader that has room isn't slowed by the limit of unanswered starts" held before and holds now.

--- a/Source/Core/ControlPlane/LeaderTerm.cpp
+++ b/Source/Core/ControlPlane/LeaderTerm.cpp
@@ -3,8 +3,6 @@
 #include "Common/Logging.h"
 #include "ControlPlane/JobFeeds.h"
 
-#include <limits>
-
 namespace ControlPlane {
 
 namespace {
@@ -267,13 +265,15 @@
 {
     if (const auto change = m_parts.health.load.timerFired(due, m_parts.timers.now()))
         report(*change, m_parts.health.load.thresholds());
+    if (m_parts.health.load.isBehind())
+        m_window.loopBehind(m_parts.timers.now());
 }
 
 void leader_term::reportLoad()
 {
     const auto now = m_parts.timers.now();
     if (m_isStarted && m_load.isDue(now))
-        report(m_load.measure(m_orders, 0, m_dispatcher.backlog(now), now));
+        report(m_load.measure(m_orders, m_window.size(), m_dispatcher.backlog(now), now));
 }
 
 void leader_term::closeStaleConnections()
@@ -327,7 +327,7 @@
 int leader_term::startRoom() const
 {
     // What arrived meanwhile may forbid the start.
-    return m_parts.health.load.isBehind() ? 0 : std::numeric_limits<int>::max();
+    return m_parts.health.load.isBehind() ? 0 : m_window.room();
 }
 
 void leader_term::sendOrders(const Dispatch::dispatch_orders& orders)
@@ -347,6 +347,7 @@
 {
     m_parts.eventCounters.add("starts");
     m_orders.sent(order_kind::Start);
+    m_window.sent();
     const auto sentAt = m_parts.timers.now();
     m_parts.workers.start(order, m_options.token, orderTimeout,
         [self = shared_from_this(), order, sentAt](const Dispatch::order_reply& reply) {
@@ -400,6 +401,10 @@
     const bool isAnswered = reply.outcome != Dispatch::order_outcome::NoAnswer
         && reply.outcome != Dispatch::order_outcome::NotSent;
     m_orders.answered(kind, time, isAnswered);
+    if (kind == order_kind::Start)
+        m_window.startAnswered(time, m_parts.timers.now());
+    else if (kind == order_kind::Stop)
+        m_window.stopAnswered(time, m_parts.timers.now());
 }
 
 void leader_term::flush()
--- a/Source/Core/ControlPlane/LeaderTerm.h
+++ b/Source/Core/ControlPlane/LeaderTerm.h
@@ -5,6 +5,7 @@
 #include "ControlPlane/LeaderElection.h"
 #include "ControlPlane/LeaderLoad.h"
 #include "Dispatch/Dispatcher.h"
+#include "Dispatch/StartWindow.h"
 #include "Dispatch/WorkerGateway.h"
 #include "Jobs/JobRegistry.h"
 #include "Records/BatchAppender.h"
@@ -101,6 +102,7 @@
     std::shared_ptr<capacity_controller> m_capacity;
     std::function<void()> m_onLost;
     order_meter m_orders;
+    Dispatch::start_window m_window;
     leader_load_meter m_load;
     int m_pendingCommits { 0 };
     Common::instant m_commitBeganAt;
--- a/Source/UnitTests/Core/ControlPlane/OverloadedLeaderTest.cpp
+++ b/Source/UnitTests/Core/ControlPlane/OverloadedLeaderTest.cpp
@@ -133,15 +133,12 @@
             worker.ended, [&order](const auto& ended) { return ended.number <= order.acknowledgedEnd; });
         Dispatch::poll_order_reply result { .base = reply(Dispatch::order_outcome::Done), .ended = worker.ended };
         for (const auto& [task, run] : worker.running)
-            result.running.push_back({ .task = task, .run = run.run, .percent = { percent(run) } });
+            result.running.push_back({ .task = task,
+                .run = run.run,
+                .percent = { Common::elapsed(run.beganAt, timers.now()).count() / 1000 } });
         return result;
     }
 
-    std::int64_t percent(const running_task& run) const
-    {
-        return std::min<std::int64_t>(99, Common::elapsed(run.beganAt, timers.now()).count() / 100);
-    }
-
     void keepOnly(const std::vector<Common::worker_id>&) override { }
 
     int running(const std::string& job) const
@@ -291,6 +288,36 @@
 
 }
 
+TEST_CASE("Starts don't queue in front of a link that is too slow for them", "[overload]")
+{
+    overload_fixture s;
+    s.link.orderTime = Common::millis(6);
+    s.accept("large", workerCount * tasksPerWorker);
+
+    SECTION("each start begins soon after it was sent, and all tasks are started")
+    {
+        s.timers.advance(std::chrono::seconds(30));
+        CHECK(s.link.slowestStart <= acceptedStartDelay);
+        CHECK(s.link.running("large") == workerCount * tasksPerWorker);
+    }
+    SECTION("no task of a cancelled job begins later, and those that run are stopped")
+    {
+        s.timers.advance(Common::millis(500));
+        s.cancel("large");
+        s.timers.advance(Common::millis(1500));
+        CHECK(s.link.latestForbidden <= acceptedStartDelay);
+        CHECK(s.link.running("large") == 0);
+    }
+}
+
+TEST_CASE("A leader that has room isn't slowed by the limit of unanswered starts", "[overload]")
+{
+    overload_fixture s;
+    s.accept("large", workerCount * tasksPerWorker);
+    s.timers.advance(Common::millis(100));
+    CHECK(s.link.begun == workerCount * tasksPerWorker);
+}
+
 TEST_CASE("A leader whose event loop is behind sends stops, but no starts", "[overload]")
 {
     overload_fixture s;
