--- a/Source/Core/ControlPlane/LeaderTerm.cpp
+++ b/Source/Core/ControlPlane/LeaderTerm.cpp
@@ -265,13 +265,15 @@
 {
     if (const auto change = m_parts.health.load.timerFired(due, m_parts.timers.now()))
         report(*change, m_parts.health.load.thresholds());
+    if (m_parts.health.load.isBehind())
+        m_window.loopBehind(m_parts.timers.now());
 }
 
 void leader_term::reportLoad()
 {
     const auto now = m_parts.timers.now();
     if (m_isStarted && m_load.isDue(now))
-        report(m_load.measure(m_orders, 0, m_dispatcher.backlog(now), now));
+        report(m_load.measure(m_orders, m_window.size(), m_dispatcher.backlog(now), now));
 }
 
 void leader_term::closeStaleConnections()
@@ -315,20 +317,28 @@
     // Plan instances first, so that a worker that is about to leave gets no more starts.
     if (m_capacity)
         m_capacity->plan(leadership.isConfirmed(m_parts.timers.now()));
+    m_dispatcher.limitStarts(startRoom());
     sendOrders(m_dispatcher.plan(m_parts.timers.now(), Common::wallNow(), leadership));
     flush();
     if (m_dispatcher.isFenced())
         loseLeadership("fenced_by_worker");
 }
 
+int leader_term::startRoom() const
+{
+    // What arrived meanwhile may forbid the start.
+    return m_parts.health.load.isBehind() ? 0 : m_window.room();
+}
+
 void leader_term::sendOrders(const Dispatch::dispatch_orders& orders)
 {
     for (const auto& order : orders.stops)
         sendStop(order);
-    for (const auto& order : orders.starts)
-        sendStart(order);
+    // Only starts can wait: what runs has to be stopped or renewed in time.
     for (const auto& order : orders.polls)
         sendPoll(order);
+    for (const auto& order : orders.starts)
+        sendStart(order);
     for (const auto& order : orders.paces)
         sendPace(order);
 }
@@ -337,6 +347,7 @@
 {
     m_parts.eventCounters.add("starts");
     m_orders.sent(order_kind::Start);
+    m_window.sent();
     const auto sentAt = m_parts.timers.now();
     m_parts.workers.start(order, m_options.token, orderTimeout,
         [self = shared_from_this(), order, sentAt](const Dispatch::order_reply& reply) {
@@ -390,6 +401,10 @@
     const bool isAnswered = reply.outcome != Dispatch::order_outcome::NoAnswer
         && reply.outcome != Dispatch::order_outcome::NotSent;
     m_orders.answered(kind, time, isAnswered);
+    if (kind == order_kind::Start)
+        m_window.startAnswered(time, m_parts.timers.now());
+    else if (kind == order_kind::Stop)
+        m_window.stopAnswered(time, m_parts.timers.now());
 }
 
 void leader_term::flush()
--- a/Source/Core/ControlPlane/LeaderTerm.h
+++ b/Source/Core/ControlPlane/LeaderTerm.h
@@ -5,6 +5,7 @@
 #include "ControlPlane/LeaderElection.h"
 #include "ControlPlane/LeaderLoad.h"
 #include "Dispatch/Dispatcher.h"
+#include "Dispatch/StartWindow.h"
 #include "Dispatch/WorkerGateway.h"
 #include "Jobs/JobRegistry.h"
 #include "Records/BatchAppender.h"
@@ -79,6 +80,8 @@
     void closeStaleConnections();
     void schedulePlan();
     void planAndSend();
+    /// How many starts may be sent now.
+    int startRoom() const;
     void sendOrders(const Dispatch::dispatch_orders&);
     void sendStart(const Dispatch::start_order&);
     void sendStop(const Dispatch::stop_order&);
@@ -99,6 +102,7 @@
     std::shared_ptr<capacity_controller> m_capacity;
     std::function<void()> m_onLost;
     order_meter m_orders;
+    Dispatch::start_window m_window;
     leader_load_meter m_load;
     int m_pendingCommits { 0 };
     Common::instant m_commitBeganAt;
