Keep each pool's waiting jobs and demand up to date instead of walking all jobs

Change: a pool's jobs that have something to start are kept in two sorted lists, on time and late. A job reports when it changes, and the time after which it is late is known, so a pass handles only jobs that changed or became late. Demand is kept as sums. A pass ends as soon as none of the different requests that wait has room on any worker.

--- a/Source/Core/Dispatch/Dispatcher.h
+++ b/Source/Core/Dispatch/Dispatcher.h
@@ -93,18 +93,6 @@
     std::int64_t jobsExamined { 0 };
 };
 
-/// Resources requested by a pool's tasks. Best-effort tasks don't count.
-struct pool_demand {
-    /// Of waiting tasks that are ready to start.
-    Jobs::resources waiting;
-    /// Of waiting tasks whose dependencies aren't done.
-    Jobs::resources blocked;
-    /// Of tasks that are placed on workers.
-    Jobs::resources running;
-    /// Of all tasks of jobs that can no longer meet their deadline; these aren't part of the other sums.
-    Jobs::resources late;
-};
-
 /// How long the leadership is confirmed. Another leader can take over only after `confirmedUntil`. Before it restarts
 /// tasks that it can't see, it waits until the longest lease that may have been granted by then has expired. Until that
 /// time this leader may go on with what it knew at `confirmedUntil`, provided that no lease it grants ends later.
@@ -157,7 +145,7 @@
     /// Whether another leader has taken over, so that no more orders may be sent.
     bool isFenced() const { return m_isFenced; }
     bool hasJob(const Common::job_id& id) const { return m_jobs.contains(id.value); }
-    pool_demand demandOf(const Common::pool_id&, Common::wall_millis wall) const;
+    pool_demand demandOf(const Common::pool_id&, Common::wall_millis wall);
     const std::map<Common::worker_id, worker_state>& workers() const { return m_workers; }
     const plan_statistics& lastPlan() const { return m_lastPlan; }
     /// Stops long-running tasks of a cordoned worker, and best-effort ones, as far as disruption budgets allow.
@@ -171,6 +159,14 @@
         run_number run;
     };
 
+    /// One planning pass of a pool.
+    struct pool_pass {
+        const job_order& jobs;
+        placement_index& workers;
+        bool isReconciled { false };
+        Common::instant now;
+    };
+
     open_job* findJob(const Common::job_id&);
     const Rules::queue_rule* queueOf(const open_job&) const;
     /// Whether nothing that an earlier leader started in the pool can still be running unnoticed.
@@ -190,8 +186,10 @@
     worker_state& expectWorker(const Common::worker_id&, const Common::pool_id&, Common::instant now);
     /// Whether the next leader will know where the job's tasks may be running.
     bool mayGoOn(const open_job&, Common::instant now) const;
-    /// Jobs with tasks that wait and are ready, in the order in which they are placed.
-    std::vector<open_job*> startableJobs(const Common::pool_id&, Common::instant now, Common::wall_millis wall);
+    /// Whether a worker has room for any of the tasks that wait and are ready.
+    static bool hasRoom(const pool_pass&);
+    /// False when no waiting task fits any more.
+    bool planJobs(const std::vector<open_job*>&, const pool_pass&);
 
     void expireLeases(Common::instant now, const leadership_status&);
     void planStarts(const Common::pool_id&, Common::instant now, Common::wall_millis wall);
@@ -227,7 +225,6 @@
     worker_state* acceptReply(const Common::worker_id&, const order_reply&, Common::instant now);
     void applyReply(worker_state&, const order_reply&, Common::instant now);
     bool checkIncarnation(worker_state&, const order_reply&, Common::instant now);
-    static bool isTooLate(open_job&, Common::wall_millis wall);
     void suspect(worker_state&, Common::instant now, Common::millis time);
     void handleEnd(worker_state&, const listed_end&, Common::instant now);
     void handleDone(open_job&, const listed_end&);
--- a/Source/Core/Dispatch/DispatcherReplies.cpp
+++ b/Source/Core/Dispatch/DispatcherReplies.cpp
@@ -407,6 +407,7 @@
     if (Jobs::isFinal(job.state))
         return;
     job.state = state;
+    job.noteChange();
     m_dirty.insert(job.record().id.value);
     observe({ .kind = dispatch_event_kind::JobFinished, .task = { .job = job.record().id }, .state = state });
     stopRunsOf(job.record().id);
--- a/Source/Core/Dispatch/DispatcherStarts.cpp
+++ b/Source/Core/Dispatch/DispatcherStarts.cpp
@@ -9,8 +9,8 @@
 
     /// After our leadership was last confirmed, starts are still planned for this time; they are sent once logged.
     constexpr Common::millis planningGrace { 1500 };
-    /// Tasks are assumed to take at least this share of their estimates.
-    constexpr double minShareOfEstimate = 0.2;
+    /// With more different requests than this, all waiting jobs are looked at even if nothing fits.
+    constexpr std::size_t maxRequestsChecked = 64;
 
 }
 
@@ -24,14 +24,6 @@
     return schedulable;
 }
 
-bool dispatcher::isTooLate(open_job& job, Common::wall_millis wall)
-{
-    if (job.hasLongRunningTasks())
-        return false;
-    const auto least = static_cast<double>(job.summary().remainingPath.count()) * minShareOfEstimate;
-    return wall.value + static_cast<std::int64_t>(least) > job.dueAt.value;
-}
-
 bool dispatcher::mayGoOn(const open_job& job, Common::instant now) const
 {
     // While the store is down, only jobs that the next leader will treat as started go on, since their placements
@@ -40,56 +32,61 @@
     return canBeLogged || (job.isLogged && job.addedAt <= m_jobCutoff);
 }
 
-std::vector<open_job*> dispatcher::startableJobs(
-    const Common::pool_id& pool, Common::instant now, Common::wall_millis wall)
-{
-    const auto found = m_jobsOfPools.find(pool);
-    if (found == m_jobsOfPools.end())
-        return {};
-    std::optional<bool> isReconciled;
-    std::vector<open_job*> jobs;
-    // Jobs that can no longer meet their deadline are worth little, so they come after the others.
-    std::vector<open_job*> late;
-    m_lastPlan.jobsExamined += static_cast<std::int64_t>(found->second.jobs().size());
-    for (auto* job : found->second.jobs()) {
-        if (Jobs::isFinal(job->state) || !job->summary().hasReadyTasks || !mayGoOn(*job, now))
-            continue;
-        if (!isReconciled)
-            isReconciled = isPoolReconciled(pool, now);
-        if (*isReconciled || m_neverStarted.contains(job->record().id.value))
-            (isTooLate(*job, wall) ? late : jobs).push_back(job);
-    }
-    jobs.insert(jobs.end(), late.begin(), late.end());
-    return jobs;
-}
-
 void dispatcher::planStarts(const Common::pool_id& pool, Common::instant now, Common::wall_millis wall)
 {
     m_observer.onPlanPart(plan_part::Ordering);
-    const auto jobs = startableJobs(pool, now, wall);
-    if (jobs.empty())
+    const auto found = m_jobsOfPools.find(pool);
+    if (found == m_jobsOfPools.end())
+        return;
+    auto& jobs = found->second;
+    jobs.refresh(wall);
+    if (jobs.onTime().empty() && jobs.late().empty())
         return;
     m_observer.onPlanPart(plan_part::Placement);
     placement_index workers(schedulableWorkers(pool, now));
-    for (auto* job : jobs)
-        planJob(*job, workers, now);
+    const pool_pass pass { .jobs = jobs, .workers = workers, .isReconciled = isPoolReconciled(pool, now), .now = now };
+    // Jobs that can no longer meet their deadline are worth little, so they come after the others.
+    if (hasRoom(pass) && planJobs(jobs.onTime(), pass))
+        planJobs(jobs.late(), pass);
     m_lastPlan.workersExamined += workers.workersExamined();
 }
 
+bool dispatcher::hasRoom(const pool_pass& pass)
+{
+    const auto& requests = pass.jobs.readyRequests();
+    return requests.size() > maxRequestsChecked
+        || std::any_of(requests.begin(), requests.end(),
+            [&pass](const auto& request) { return pass.workers.hasRoomFor(request.first); });
+}
+
+bool dispatcher::planJobs(const std::vector<open_job*>& jobs, const pool_pass& pass)
+{
+    for (auto* job : jobs) {
+        ++m_lastPlan.jobsExamined;
+        if (Jobs::isFinal(job->state) || !mayGoOn(*job, pass.now))
+            continue;
+        if (!pass.isReconciled && !m_neverStarted.contains(job->record().id.value))
+            continue;
+        const int ruledOut = pass.workers.ruledOutCount();
+        planJob(*job, pass.workers, pass.now);
+        if (pass.workers.ruledOutCount() != ruledOut && !hasRoom(pass))
+            return false;
+    }
+    return true;
+}
+
 void dispatcher::planJob(open_job& job, placement_index& workers, Common::instant now)
 {
-    for (auto& [number, occurrence] : job.occurrences()) {
-        for (int step = 0; step < static_cast<int>(occurrence.steps.size()); ++step) {
-            const auto& state = occurrence.steps[static_cast<std::size_t>(step)];
-            const auto& spec = job.record().spec.steps[static_cast<std::size_t>(step)];
-            const auto open = static_cast<int>(state.tasks.size()) - state.done - state.placed;
-            if (open <= 0 || !job.isReady(occurrence, step) || workers.isRuledOut(spec))
-                continue;
-            if (spec.isGang)
-                planGang(job, number, step, workers, now);
-            else
-                planStep(job, number, step, workers, now);
-        }
+    // A copy, since the summary changes with each placement.
+    const auto readySteps = job.summary().readySteps;
+    for (const auto& [occurrence, step] : readySteps) {
+        const auto& spec = job.record().spec.steps[static_cast<std::size_t>(step)];
+        if (workers.isRuledOut(requestOf(spec)))
+            continue;
+        if (spec.isGang)
+            planGang(job, occurrence, step, workers, now);
+        else
+            planStep(job, occurrence, step, workers, now);
     }
 }
 
@@ -176,22 +173,13 @@
     }
 }
 
-pool_demand dispatcher::demandOf(const Common::pool_id& pool, Common::wall_millis wall) const
+pool_demand dispatcher::demandOf(const Common::pool_id& pool, Common::wall_millis wall)
 {
-    pool_demand demand;
     const auto found = m_jobsOfPools.find(pool);
     if (found == m_jobsOfPools.end())
-        return demand;
-    for (auto* job : found->second.jobs()) {
-        if (Jobs::isFinal(job->state))
-            continue;
-        const auto& summary = job->summary();
-        const bool isLate = isTooLate(*job, wall);
-        (isLate ? demand.late : demand.waiting) += summary.waiting;
-        (isLate ? demand.late : demand.blocked) += summary.blocked;
-        (isLate ? demand.late : demand.running) += summary.placed;
-    }
-    return demand;
+        return {};
+    found->second.refresh(wall);
+    return found->second.demand();
 }
 
 }
--- a/Source/Core/Dispatch/JobOrder.cpp
+++ b/Source/Core/Dispatch/JobOrder.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <tuple>
+#include <utility>
 
 namespace Dispatch {
 
@@ -17,18 +18,108 @@
         return leftKey != rightKey ? leftKey < rightKey : left->record().id < right->record().id;
     }
 
+    void insertSorted(std::vector<open_job*>& jobs, open_job& job)
+    {
+        jobs.insert(std::upper_bound(jobs.begin(), jobs.end(), &job, isBefore), &job);
+    }
+
+    void eraseSorted(std::vector<open_job*>& jobs, open_job& job)
+    {
+        const auto found = std::lower_bound(jobs.begin(), jobs.end(), &job, isBefore);
+        if (found != jobs.end() && *found == &job)
+            jobs.erase(found);
+    }
+
+}
+
+job_order::~job_order()
+{
+    for (auto& [job, entry] : m_entries)
+        job->reportChangesTo(nullptr);
 }
 
 void job_order::insert(open_job& job)
 {
-    m_jobs.insert(std::upper_bound(m_jobs.begin(), m_jobs.end(), &job, isBefore), &job);
+    m_entries.try_emplace(&job);
+    job.reportChangesTo(&m_changed);
+}
+
+void job_order::erase(open_job& job)
+{
+    const auto found = m_entries.find(&job);
+    if (found == m_entries.end())
+        return;
+    remove(job, found->second);
+    m_entries.erase(found);
+    std::erase(m_changed, &job);
+    job.reportChangesTo(nullptr);
+}
+
+void job_order::refresh(Common::wall_millis now)
+{
+    // Late jobs are on time again when the wall clock was set back.
+    if (now < m_now) {
+        for (auto& [job, entry] : m_entries)
+            job->noteChange();
+    }
+    m_now = now;
+    for (auto* job : std::exchange(m_changed, {})) {
+        auto& entry = m_entries.at(job);
+        remove(*job, entry);
+        add(*job, entry);
+    }
+    while (!m_lateTimes.empty() && m_lateTimes.begin()->after < now) {
+        auto* job = m_lateTimes.begin()->job;
+        auto& entry = m_entries.at(job);
+        remove(*job, entry);
+        add(*job, entry);
+    }
+}
+
+void job_order::add(open_job& job, entry& entry)
+{
+    const auto& summary = job.summary();
+    if (Jobs::isFinal(job.state))
+        return;
+    entry.summary = summary;
+    entry.isLate = summary.lateAfter < m_now;
+    entry.isStartable = !entry.summary.readySteps.empty();
+    if (entry.isStartable)
+        insertSorted(entry.isLate ? m_late : m_onTime, job);
+    for (const auto& step : entry.summary.readySteps)
+        ++m_readyRequests[requestOf(job.record().spec.steps[static_cast<std::size_t>(step.step)])];
+    if (!entry.isLate)
+        m_lateTimes.insert({ .after = summary.lateAfter, .job = &job });
+    addDemand(entry);
+}
+
+void job_order::remove(open_job& job, entry& entry)
+{
+    const auto old = std::exchange(entry, {});
+    if (old.isStartable)
+        eraseSorted(old.isLate ? m_late : m_onTime, job);
+    for (const auto& step : old.summary.readySteps) {
+        const auto request = m_readyRequests.find(requestOf(job.record().spec.steps[static_cast<std::size_t>(step.step)]));
+        if (--request->second == 0)
+            m_readyRequests.erase(request);
+    }
+    if (!old.isLate)
+        m_lateTimes.erase({ .after = old.summary.lateAfter, .job = &job });
+    removeDemand(old);
+}
+
+void job_order::addDemand(const entry& added)
+{
+    (added.isLate ? m_demand.late : m_demand.waiting) += added.summary.waiting;
+    (added.isLate ? m_demand.late : m_demand.blocked) += added.summary.blocked;
+    (added.isLate ? m_demand.late : m_demand.running) += added.summary.placed;
 }
 
-void job_order::erase(const open_job& job)
+void job_order::removeDemand(const entry& removed)
 {
-    const auto found = std::lower_bound(m_jobs.begin(), m_jobs.end(), &job, isBefore);
-    if (found != m_jobs.end() && *found == &job)
-        m_jobs.erase(found);
+    (removed.isLate ? m_demand.late : m_demand.waiting) -= removed.summary.waiting;
+    (removed.isLate ? m_demand.late : m_demand.blocked) -= removed.summary.blocked;
+    (removed.isLate ? m_demand.late : m_demand.running) -= removed.summary.placed;
 }
 
 }
--- a/Source/Core/Dispatch/OpenJob.cpp
+++ b/Source/Core/Dispatch/OpenJob.cpp
@@ -1,9 +1,17 @@
 #include "Dispatch/OpenJob.h"
 
 #include <algorithm>
+#include <limits>
 
 namespace Dispatch {
 
+namespace {
+
+    /// Tasks are assumed to take at least this share of their estimates.
+    constexpr double minShareOfEstimate = 0.2;
+
+}
+
 open_job::open_job(const Jobs::job_record& record, const Jobs::job_progress& progress, run_number base)
     : state(progress.state)
     , isLogged(progress.state != Jobs::job_state::Pending || !progress.tasks.empty())
@@ -37,7 +45,7 @@
     auto& opened = m_occurrences[occurrence];
     if (!opened.steps.empty())
         return opened;
-    m_summary.reset();
+    noteChange();
     for (const auto& step : m_record.spec.steps) {
         task_state fresh;
         fresh.lastRun = m_base;
@@ -94,7 +102,7 @@
 void open_job::place(const Jobs::task_name& name, const Common::worker_id& worker, run_number run)
 {
     auto* task = find(name);
-    m_summary.reset();
+    noteChange();
     task->phase = task_phase::Placed;
     task->worker = worker;
     task->run = run;
@@ -108,7 +116,7 @@
     auto* task = find(name);
     if (!task || task->phase != task_phase::Placed)
         return;
-    m_summary.reset();
+    noteChange();
     task->phase = task_phase::Waiting;
     task->notBefore = notBefore;
     --m_occurrences[name.occurrence].steps[static_cast<std::size_t>(name.step)].placed;
@@ -119,7 +127,7 @@
     auto* task = find(name);
     if (!task || task->phase == task_phase::Done)
         return;
-    m_summary.reset();
+    noteChange();
     auto& step = m_occurrences[name.occurrence].steps[static_cast<std::size_t>(name.step)];
     if (task->phase == task_phase::Placed)
         --step.placed;
@@ -165,17 +173,43 @@
     return *m_summary;
 }
 
+void open_job::reportChangesTo(std::vector<open_job*>* changed)
+{
+    m_summary.reset();
+    m_changed = changed;
+    if (m_changed)
+        m_changed->push_back(this);
+}
+
+void open_job::noteChange()
+{
+    if (m_summary && m_changed)
+        m_changed->push_back(this);
+    m_summary.reset();
+}
+
+Common::wall_millis open_job::lateAfter() const
+{
+    if (m_hasLongRunningTasks)
+        return { std::numeric_limits<std::int64_t>::max() };
+    Common::millis longest { 0 };
+    for (const auto& [number, occurrence] : m_occurrences)
+        longest = std::max(longest, criticalPath(m_record.spec, &occurrence));
+    const auto least = static_cast<double>(longest.count()) * minShareOfEstimate;
+    return { dueAt.value - static_cast<std::int64_t>(least) };
+}
+
 job_summary open_job::summarize() const
 {
-    job_summary summary;
+    job_summary summary { .lateAfter = lateAfter() };
     for (const auto& [number, occurrence] : m_occurrences) {
-        summary.remainingPath = std::max(summary.remainingPath, criticalPath(m_record.spec, &occurrence));
         for (std::size_t step = 0; step < occurrence.steps.size(); ++step) {
             const auto& state = occurrence.steps[step];
             const auto& spec = m_record.spec.steps[step];
             const auto open = static_cast<std::int64_t>(state.tasks.size()) - state.done - state.placed;
             const bool isStepReady = isReady(occurrence, static_cast<int>(step));
-            summary.hasReadyTasks = summary.hasReadyTasks || (open > 0 && isStepReady);
+            if (open > 0 && isStepReady)
+                summary.readySteps.push_back({ .occurrence = number, .step = static_cast<int>(step) });
             if (spec.isBestEffort)
                 continue;
             (isStepReady ? summary.waiting : summary.blocked) += Jobs::times(spec.request, open);
--- a/Source/Core/Dispatch/OpenJob.h
+++ b/Source/Core/Dispatch/OpenJob.h
@@ -44,12 +44,17 @@
     std::vector<step_state> steps;
 };
 
+struct occurrence_step {
+    int occurrence { 0 };
+    int step { 0 };
+};
+
 /// What scheduling needs to know about the steps of a job.
 struct job_summary {
-    /// Some tasks wait whose dependencies are done.
-    bool hasReadyTasks { false };
-    /// Estimated length of the critical path through the steps that aren't done; the longest of all open occurrences.
-    Common::millis remainingPath { 0 };
+    /// Steps with tasks that wait, and whose dependencies are done.
+    std::vector<occurrence_step> readySteps;
+    /// After this time the job can no longer meet its deadline.
+    Common::wall_millis lateAfter;
     /// Requests of the tasks that wait and are ready, of those that wait for others, and of those that are placed.
     /// Best-effort tasks don't count.
     Jobs::resources waiting;
@@ -79,6 +84,10 @@
     bool hasLongRunningTasks() const { return m_hasLongRunningTasks; }
     /// Calculated again after the job has changed only.
     const job_summary& summary();
+    /// The job is added to `changed` now and once after each time its summary has become outdated; null for no list.
+    void reportChangesTo(std::vector<open_job*>* changed);
+    /// To be called after `state` has become final.
+    void noteChange();
 
     void place(const Jobs::task_name&, const Common::worker_id&, run_number);
     /// Returns the task to the waiting ones; it isn't started before `notBefore`.
@@ -100,6 +109,7 @@
     occurrence_state& open(int occurrence);
     int occurrenceCount() const;
     job_summary summarize() const;
+    Common::wall_millis lateAfter() const;
 
     Jobs::job_record m_record;
     run_number m_base;
@@ -107,6 +117,7 @@
     bool m_hasLongRunningTasks { false };
     /// Empty when the job has changed since it was calculated.
     std::optional<job_summary> m_summary;
+    std::vector<open_job*>* m_changed { nullptr };
 };
 
 /// Estimated length of the critical path through the steps. Steps that are done in `done`, if given, count as 0.
--- a/Source/Core/Dispatch/Placement.cpp
+++ b/Source/Core/Dispatch/Placement.cpp
@@ -16,15 +16,6 @@
         return label.empty() || std::find(labels.begin(), labels.end(), label) != labels.end();
     }
 
-    /// What a task of the step reserves; best-effort tasks reserve no processor.
-    Jobs::resources reservedBy(const Jobs::step_spec& step)
-    {
-        auto amount = step.request;
-        if (step.isBestEffort)
-            amount.processor = {};
-        return amount;
-    }
-
     /// Whether the workers with the least free processor aren't always preferred.
     bool hasPreference(const placement_request& request)
     {
@@ -35,6 +26,14 @@
 
 }
 
+step_request requestOf(const Jobs::step_spec& step)
+{
+    step_request request { .amount = step.request, .requiredLabel = step.requiredLabel };
+    if (step.isBestEffort)
+        request.amount.processor = {};
+    return request;
+}
+
 /// Lower is better. Long-running tasks are packed on few workers, so that others can leave the pool; best-effort tasks
 /// go where the most processor is spare.
 struct placement_index::slot_rank {
@@ -58,24 +57,47 @@
     std::sort(m_order.begin(), m_order.end());
 }
 
-bool placement_index::isRuledOut(const Jobs::step_spec& step) const
+bool placement_index::isRuledOut(const step_request& request) const
 {
-    const auto amount = reservedBy(step);
-    return std::any_of(m_ruledOut.begin(), m_ruledOut.end(), [&step, &amount](const auto& known) {
-        return (known.requiredLabel.empty() || known.requiredLabel == step.requiredLabel)
-            && Jobs::fits(known.amount, amount);
+    return std::any_of(m_ruledOut.begin(), m_ruledOut.end(), [&request](const auto& known) {
+        return (known.requiredLabel.empty() || known.requiredLabel == request.requiredLabel)
+            && Jobs::fits(known.amount, request.amount);
     });
 }
 
-void placement_index::ruleOut(const Jobs::step_spec& step)
+void placement_index::ruleOut(const step_request& request)
 {
-    const ruled_out_request added { .amount = reservedBy(step), .requiredLabel = step.requiredLabel };
-    std::erase_if(m_ruledOut, [&added](const auto& known) {
-        return (added.requiredLabel.empty() || known.requiredLabel == added.requiredLabel)
-            && Jobs::fits(added.amount, known.amount);
+    std::erase_if(m_ruledOut, [&request](const auto& known) {
+        return (request.requiredLabel.empty() || known.requiredLabel == request.requiredLabel)
+            && Jobs::fits(request.amount, known.amount);
     });
-    if (m_ruledOut.size() < maxRuledOut)
-        m_ruledOut.push_back(added);
+    if (m_ruledOut.size() >= maxRuledOut)
+        return;
+    m_ruledOut.push_back(request);
+    ++m_ruledOutCount;
+}
+
+bool placement_index::mayRun(const slot& slot, const step_request& request)
+{
+    return Jobs::fits(request.amount, slot.free) && hasLabel(*slot.worker, request.requiredLabel);
+}
+
+std::vector<placement_index::order_key>::const_iterator placement_index::firstWith(Common::millicores processor) const
+{
+    return std::lower_bound(m_order.begin(), m_order.end(), order_key { .processor = processor.value });
+}
+
+bool placement_index::hasRoomFor(const step_request& request)
+{
+    if (isRuledOut(request))
+        return false;
+    for (auto key = firstWith(request.amount.processor); key != m_order.end(); ++key) {
+        ++m_workersExamined;
+        if (mayRun(m_slots[key->slot], request))
+            return true;
+    }
+    ruleOut(request);
+    return false;
 }
 
 bool placement_index::isWithinLimit(const slot& slot, const placement_request& request) const
@@ -102,17 +124,16 @@
 
 worker_state* placement_index::choose(const placement_request& request)
 {
-    if (isRuledOut(*request.step))
+    const auto needed = requestOf(*request.step);
+    if (isRuledOut(needed))
         return nullptr;
-    const auto amount = reservedBy(*request.step);
     const bool isFirstBest = !hasPreference(request);
     bool hasRoom = false;
     std::optional<slot_rank> best;
-    const order_key least { .processor = amount.processor.value };
-    for (auto key = std::lower_bound(m_order.begin(), m_order.end(), least); key != m_order.end(); ++key) {
+    for (auto key = firstWith(needed.amount.processor); key != m_order.end(); ++key) {
         ++m_workersExamined;
         const auto& slot = m_slots[key->slot];
-        if (!Jobs::fits(amount, slot.free) || !hasLabel(*slot.worker, request.step->requiredLabel))
+        if (!mayRun(slot, needed))
             continue;
         hasRoom = true;
         if (!isWithinLimit(slot, request))
@@ -125,7 +146,7 @@
     }
     // What doesn't fit during a trial may fit after it.
     if (!hasRoom && m_trialSlots.empty())
-        ruleOut(*request.step);
+        ruleOut(needed);
     return best ? m_slots[best->slot].worker : nullptr;
 }
 
--- a/Source/Core/Dispatch/Placement.h
+++ b/Source/Core/Dispatch/Placement.h
@@ -18,6 +18,17 @@
     const std::map<Common::worker_id, int>* onWorker { nullptr };
 };
 
+/// What a task of a step needs of a worker; best-effort tasks need no processor.
+struct step_request {
+    Jobs::resources amount;
+    /// Empty for none.
+    std::string requiredLabel;
+
+    friend auto operator<=>(const step_request&, const step_request&) = default;
+};
+
+step_request requestOf(const Jobs::step_spec&);
+
 /// The schedulable workers of a pool during one planning pass, in order of their free processor. Remembers which
 /// requests found no worker, so that a full pool isn't searched again for each waiting task.
 class placement_index {
@@ -30,7 +41,11 @@
     /// To be called after the chosen worker's runs have changed.
     void update(const worker_state&);
     /// Whether an earlier request showed that no worker has room for a task of the step.
-    bool isRuledOut(const Jobs::step_spec&) const;
+    bool isRuledOut(const step_request&) const;
+    /// Whether a worker has room for a task with the request.
+    bool hasRoomFor(const step_request&);
+    /// Increases when further requests are ruled out.
+    int ruledOutCount() const { return m_ruledOutCount; }
 
     /// Places a task on a copy of the worker, until `endTrial`.
     void tryRun(const worker_state&, const Jobs::task_name&, const task_run&);
@@ -54,11 +69,6 @@
 
         friend auto operator<=>(const order_key&, const order_key&) = default;
     };
-    /// A request that no worker has room for; requests of as much or more have none either.
-    struct ruled_out_request {
-        Jobs::resources amount;
-        std::string requiredLabel;
-    };
     struct slot_rank;
 
     std::size_t slotOf(const worker_state&) const;
@@ -66,11 +76,16 @@
     bool isWithinLimit(const slot&, const placement_request&) const;
     /// Updates the order after the slot's free resources have changed.
     void reorder(std::size_t slot);
-    void ruleOut(const Jobs::step_spec&);
+    static bool mayRun(const slot&, const step_request&);
+    /// Position of the first worker with enough free processor.
+    std::vector<order_key>::const_iterator firstWith(Common::millicores) const;
+    void ruleOut(const step_request&);
 
     std::vector<slot> m_slots;
     std::vector<order_key> m_order;
-    std::vector<ruled_out_request> m_ruledOut;
+    /// Requests that no worker has room for; requests of as much or more have none either.
+    std::vector<step_request> m_ruledOut;
+    int m_ruledOutCount { 0 };
     std::vector<std::size_t> m_trialSlots;
     std::int64_t m_workersExamined { 0 };
 };
