--- a/Source/Core/Dispatch/Dispatcher.h
+++ b/Source/Core/Dispatch/Dispatcher.h
@@ -94,18 +94,6 @@
     std::int64_t jobsExamined { 0 };
 };
 
-/// Resources requested by a pool's tasks. Best-effort tasks don't count.
-struct pool_demand {
-    /// Of waiting tasks that are ready to start.
-    Jobs::resources waiting;
-    /// Of waiting tasks whose dependencies aren't done.
-    Jobs::resources blocked;
-    /// Of tasks that are placed on workers.
-    Jobs::resources running;
-    /// Of all tasks of jobs that can no longer meet their deadline; these aren't part of the other sums.
-    Jobs::resources late;
-};
-
 /// Work that hasn't been ordered yet, and how recent the workers' reports are.
 struct dispatch_backlog {
     /// Planned starts that haven't been sent.
@@ -170,7 +158,7 @@
     /// Whether another leader has taken over, so that no more orders may be sent.
     bool isFenced() const { return m_isFenced; }
     bool hasJob(const Common::job_id& id) const { return m_jobs.contains(id.value); }
-    pool_demand demandOf(const Common::pool_id&, Common::wall_millis wall) const;
+    pool_demand demandOf(const Common::pool_id&, Common::wall_millis wall);
     dispatch_backlog backlog(Common::instant now) const;
     const std::map<Common::worker_id, worker_state>& workers() const { return m_workers; }
     const plan_statistics& lastPlan() const { return m_lastPlan; }
@@ -185,6 +173,14 @@
         run_number run;
     };
 
+    /// One planning pass of a pool.
+    struct pool_pass {
+        const job_order& jobs;
+        placement_index& workers;
+        bool isReconciled { false };
+        Common::instant now;
+    };
+
     open_job* findJob(const Common::job_id&);
     const Rules::queue_rule* queueOf(const open_job&) const;
     /// Whether nothing that an earlier leader started in the pool can still be running unnoticed.
@@ -204,8 +200,10 @@
     worker_state& expectWorker(const Common::worker_id&, const Common::pool_id&, Common::instant now);
     /// Whether the next leader will know where the job's tasks may be running.
     bool mayGoOn(const open_job&, Common::instant now) const;
-    /// Jobs with tasks that wait and are ready, in the order in which they are placed.
-    std::vector<open_job*> startableJobs(const Common::pool_id&, Common::instant now, Common::wall_millis wall);
+    /// Whether a worker has room for any of the tasks that wait and are ready.
+    static bool hasRoom(const pool_pass&);
+    /// False when no waiting task fits any more.
+    bool planJobs(const std::vector<open_job*>&, const pool_pass&);
 
     void expireLeases(Common::instant now, const leadership_status&);
     void planStarts(const Common::pool_id&, Common::instant now, Common::wall_millis wall);
@@ -242,7 +240,6 @@
     worker_state* acceptReply(const Common::worker_id&, const order_reply&, Common::instant now);
     void applyReply(worker_state&, const order_reply&, Common::instant now);
     bool checkIncarnation(worker_state&, const order_reply&, Common::instant now);
-    static bool isTooLate(open_job&, Common::wall_millis wall);
     void suspect(worker_state&, Common::instant now, Common::millis time);
     void handleEnd(worker_state&, const listed_end&, Common::instant now);
     void handleDone(open_job&, const listed_end&);
