http_client: queued calls end at their deadline, and calls cost less

Callers saw: a call that waited for a connection got neither a response nor a failure before a connection was free, long after its deadline. Each call also set and cancelled a timer, copied all headers and went through two composed operations. A client that failed at once called its handler from within call().

Cause: a deadline was only enforced by the timer of the connection that had been given to the call.

Change: one timer for each client fails queued calls as not sent, ends calls in progress and closes idle connections; it isn't touched when a call ends. A request is built in one buffer that the connection keeps, and written by one system call without a completion. The response is read by Beast's parser into status and body; no caller used the headers. Failures are always reported from the event loop, and a write that fails at its first byte counts as not sent.

The tests 'A call that waits for a connection past its deadline fails as not sent' and 'A failure is reported after call() has returned' failed before. The other new tests passed before, and hold the forms of responses that are read.

--- a/Source/Core/EventLoop/HttpClient.cpp
+++ b/Source/Core/EventLoop/HttpClient.cpp
@@ -2,14 +2,17 @@
 
 #include "EventLoop/EventLoop.h"
 
+#include "EventLoop/ResponseParser.h"
+
 #include <utility>
 
-#include <boost/asio/connect.hpp>
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/post.hpp>
 #include <boost/asio/steady_timer.hpp>
-#include <boost/beast/core.hpp>
-#include <boost/beast/http.hpp>
+#include <boost/asio/write.hpp>
+#include <boost/beast/core/flat_buffer.hpp>
+#include <boost/beast/core/read_size.hpp>
 #include <deque>
 #include <netinet/tcp.h>
 #include <set>
@@ -18,15 +21,16 @@
 
 namespace {
 
-    namespace beast = boost::beast;
-    namespace http = boost::beast::http;
     using tcp = boost::asio::ip::tcp;
+    using tcp_socket = boost::asio::basic_stream_socket<tcp, boost::asio::io_context::executor_type>;
+    using steady_timer = boost::asio::basic_waitable_timer<std::chrono::steady_clock,
+        boost::asio::wait_traits<std::chrono::steady_clock>, boost::asio::io_context::executor_type>;
     using error_code = boost::system::error_code;
 
-    /// Reads of the log have the largest responses.
-    constexpr std::uint64_t maxResponseBytes = 16ULL * 1024 * 1024;
     /// A connection is closed when sent data stays unacknowledged for this long.
     constexpr int tcpUserTimeoutMs = 3000;
+    constexpr std::size_t initialBufferBytes = 2048;
+    constexpr std::size_t maxReadBytes = 65536;
 
     struct pending_call {
         http_request request;
@@ -34,47 +38,67 @@
         call_handler handler;
     };
 
-    http_response toResponse(http::response<http::string_body>&& message)
+    void appendHeader(std::string& out, std::string_view name, std::string_view value)
     {
-        http_response response;
-        response.status = static_cast<int>(message.result_int());
-        for (const auto& field : message)
-            response.headers.push_back({ std::string(field.name_string()), std::string(field.value()) });
-        response.body = std::move(message.body());
-        return response;
+        out += name;
+        out += ": ";
+        out += value;
+        out += "\r\n";
+    }
+
+    /// Writes the whole request into one buffer, which is kept between calls, so that it is sent by one system call.
+    void writeRequest(std::string& out, const http_request& request, std::string_view host)
+    {
+        out.clear();
+        out += request.method;
+        out += ' ';
+        out += request.target;
+        out += " HTTP/1.1\r\n";
+        appendHeader(out, "Host", host);
+        for (const auto& header : request.headers)
+            appendHeader(out, header.name, header.value);
+        const bool hasBody = request.method != "GET";
+        if (hasBody) {
+            appendHeader(out, "Content-Type", request.contentType);
+            appendHeader(out, "Content-Length", std::to_string(request.body.size()));
+        }
+        out += "\r\n";
+        if (hasBody)
+            out += request.body;
     }
 
 }
 
 struct http_client::connection_pool : std::enable_shared_from_this<connection_pool> {
-    struct http_connection : std::enable_shared_from_this<http_connection> {
+    struct http_connection {
         explicit http_connection(connection_pool& owner)
-            : stream(owner.context)
-            , timer(owner.context)
+            : socket(owner.context)
         {
+            buffer.reserve(initialBufferBytes);
         }
 
-        beast::tcp_stream stream;
-        boost::asio::steady_timer timer;
-        beast::flat_buffer buffer;
-        http::request<http::string_body> request;
-        std::optional<http::response_parser<http::string_body>> parser;
+        tcp_socket socket;
+        boost::beast::flat_buffer buffer;
+        std::string outgoing;
+        std::optional<response_parser> parser;
         std::optional<pending_call> current;
+        /// When the call in progress fails, or the idle connection is closed.
+        Common::instant expiry;
         bool isConnected { false };
         bool wasSent { false };
-        /// Incremented with each use of the timer, so that the handler of an earlier use does nothing.
-        std::uint64_t timerUse { 0 };
     };
     using connection_pointer = std::shared_ptr<http_connection>;
 
     connection_pool(event_loop& loop, const http_client_options& clientOptions)
         : context(loop.context())
         , options(clientOptions)
+        , timer(loop.context())
     {
     }
 
     void enqueue(pending_call call)
     {
+        expireAt(call.deadline);
         waiting.push_back(std::move(call));
         startQueuedCalls();
     }
@@ -102,44 +126,80 @@
     {
         connection->current = std::move(call);
         connection->wasSent = false;
-        armTimer(connection, connection->current->deadline);
+        connection->expiry = connection->current->deadline;
         if (connection->isConnected)
             send(connection);
         else
             connect(connection);
     }
 
-    void armTimer(const connection_pointer& connection, Common::instant deadline)
+    /// One timer serves all calls of the pool. It is only set again for an earlier time: ending a call doesn't touch it.
+    void expireAt(Common::instant when)
     {
-        const auto timerUse = ++connection->timerUse;
-        connection->timer.expires_after(Common::elapsed(Common::boot_clock::now(), deadline));
-        connection->timer.async_wait([pool = shared_from_this(), connection, timerUse](const error_code& error) {
-            if (!error && connection->timerUse == timerUse)
-                pool->fail(connection);
+        if (timerExpiry && *timerExpiry <= when)
+            return;
+        timerExpiry = when;
+        timer.expires_after(std::chrono::ceil<Common::millis>(when - Common::boot_clock::now()));
+        timer.async_wait([self = weak_from_this()](const error_code& error) {
+            const auto pool = self.lock();
+            if (!error && pool)
+                pool->expire();
         });
     }
 
+    /// Fails the calls and closes the idle connections that are due.
+    void expire()
+    {
+        timerExpiry.reset();
+        const auto now = Common::boot_clock::now();
+        std::vector<connection_pointer> due;
+        for (const auto& connection : open) {
+            if (connection->expiry <= now)
+                due.push_back(connection);
+        }
+        std::vector<pending_call> unsent;
+        std::erase_if(waiting, [now, &unsent](pending_call& call) {
+            if (call.deadline > now)
+                return false;
+            unsent.push_back(std::move(call));
+            return true;
+        });
+        for (const auto& connection : due) {
+            if (!connection->current)
+                close(connection);
+        }
+        for (const auto& call : unsent)
+            call.handler({ .response = std::nullopt, .failure = call_failure::NotSent });
+        for (const auto& connection : due)
+            fail(connection);
+        for (const auto& connection : open)
+            expireAt(connection->expiry);
+        for (const auto& call : waiting)
+            expireAt(call.deadline);
+    }
+
     void connect(const connection_pointer& connection)
     {
         ++opened;
-        const auto connectDeadline = std::min(connection->current->deadline, Common::boot_clock::now() + options.connectTimeout);
-        armTimer(connection, connectDeadline);
+        connection->expiry = std::min(connection->current->deadline, Common::boot_clock::now() + options.connectTimeout);
+        expireAt(connection->expiry);
         error_code error;
         const tcp::endpoint server(boost::asio::ip::make_address(options.server.host, error), options.server.port);
         if (error) {
-            fail(connection);
+            failLater(connection);
             return;
         }
-        connection->stream.async_connect(server, [pool = shared_from_this(), connection](const error_code& failed) {
+        connection->socket.async_connect(server, [pool = shared_from_this(), connection](const error_code& failed) {
             if (!connection->current)
                 return;
             if (failed) {
                 pool->fail(connection);
                 return;
             }
-            pool->setSocketOptions(connection);
+            setSocketOptions(connection);
             connection->isConnected = true;
-            pool->armTimer(connection, connection->current->deadline);
+            connection->expiry = connection->current->deadline;
+            pool->expireAt(connection->expiry);
             pool->send(connection);
         });
     }
@@ -147,32 +207,32 @@
     static void setSocketOptions(const connection_pointer& connection)
     {
         error_code ignored;
-        connection->stream.socket().set_option(tcp::no_delay(true), ignored);
-        const int handle = connection->stream.socket().native_handle();
+        connection->socket.non_blocking(true, ignored);
+        connection->socket.set_option(tcp::no_delay(true), ignored);
+        const int handle = connection->socket.native_handle();
         ::setsockopt(handle, IPPROTO_TCP, TCP_USER_TIMEOUT, &tcpUserTimeoutMs, sizeof tcpUserTimeoutMs);
     }
 
     void send(const connection_pointer& connection)
     {
-        const auto& from = connection->current->request;
-        connection->request = {};
-        connection->request.version(11);
-        connection->request.method_string(from.method);
-        connection->request.target(from.target);
-        connection->request.set(http::field::host, options.server.host);
-        for (const auto& header : from.headers)
-            connection->request.set(header.name, header.value);
-        if (from.method != "GET") {
-            connection->request.set(http::field::content_type, from.contentType);
-            connection->request.body() = from.body;
-            connection->request.prepare_payload();
+        auto& outgoing = connection->outgoing;
+        writeRequest(outgoing, connection->current->request, options.server.host);
+        error_code failed;
+        const auto sent = connection->socket.write_some(boost::asio::buffer(outgoing), failed);
+        if (failed && failed != boost::asio::error::would_block) {
+            failLater(connection);
+            return;
         }
         connection->wasSent = true;
-        http::async_write(connection->stream, connection->request,
-            [pool = shared_from_this(), connection](const error_code& failed, std::size_t) {
+        if (sent == outgoing.size()) {
+            receive(connection);
+            return;
+        }
+        boost::asio::async_write(connection->socket, boost::asio::buffer(outgoing) + sent,
+            [pool = shared_from_this(), connection](const error_code& error, std::size_t) {
                 if (!connection->current)
                     return;
-                if (failed)
+                if (error)
                     pool->fail(connection);
                 else
                     pool->receive(connection);
@@ -182,56 +242,67 @@
     void receive(const connection_pointer& connection)
     {
         connection->parser.emplace();
-        connection->parser->body_limit(maxResponseBytes);
-        http::async_read(connection->stream, connection->buffer, *connection->parser,
-            [pool = shared_from_this(), connection](const error_code& failed, std::size_t) {
-                if (!connection->current)
-                    return;
-                if (failed)
-                    pool->fail(connection);
-                else
-                    pool->finish(connection);
+        readMore(connection);
+    }
+
+    void readMore(const connection_pointer& connection)
+    {
+        const auto size = boost::beast::read_size(connection->buffer, maxReadBytes);
+        connection->socket.async_read_some(connection->buffer.prepare(size),
+            [pool = shared_from_this(), connection](const error_code& failed, std::size_t received) {
+                if (connection->current)
+                    pool->onRead(connection, failed, received);
             });
     }
 
+    void onRead(const connection_pointer& connection, const error_code& failed, std::size_t received)
+    {
+        connection->buffer.commit(received);
+        const auto progress = failed == boost::asio::error::eof
+            ? connection->parser->finishAtEnd()
+            : connection->parser->parse(connection->buffer);
+        if (progress == parse_progress::Complete)
+            finish(connection);
+        else if (failed || progress == parse_progress::Malformed)
+            fail(connection);
+        else
+            readMore(connection);
+    }
+
     void finish(const connection_pointer& connection)
     {
-        auto message = connection->parser->release();
-        const bool isKeepAlive = message.keep_alive();
         const auto handler = std::move(connection->current->handler);
         connection->current.reset();
-        ++connection->timerUse;
-        connection->timer.cancel();
-        if (isKeepAlive)
+        // Bytes after the response can't belong to a later one.
+        if (connection->parser->keep_alive() && connection->buffer.size() == 0)
             keepIdle(connection);
         else
             close(connection);
-        handler({ .response = toResponse(std::move(message)) });
+        handler({ .response = connection->parser->release() });
         startQueuedCalls();
     }
 
     void keepIdle(const connection_pointer& connection)
     {
         idle.push_back(connection);
-        const auto timerUse = ++connection->timerUse;
-        connection->timer.expires_after(options.idleTimeout);
-        connection->timer.async_wait([self = weak_from_this(), connection, timerUse](const error_code& error) {
-            const auto pool = self.lock();
-            if (!error && pool && connection->timerUse == timerUse)
-                pool->close(connection);
-        });
+        connection->expiry = Common::boot_clock::now() + options.idleTimeout;
+        expireAt(connection->expiry);
     }
 
     void close(const connection_pointer& connection)
     {
-        ++connection->timerUse;
-        connection->timer.cancel();
         error_code ignored;
-        connection->stream.socket().close(ignored);
+        connection->socket.close(ignored);
         std::erase(idle, connection);
         open.erase(connection);
     }
 
+    /// Fails the call from the event loop, so that no handler is called before call() returns.
+    void failLater(const connection_pointer& connection)
+    {
+        boost::asio::post(context, [pool = shared_from_this(), connection] { pool->fail(connection); });
+    }
+
     /// Fails the call and closes its connection.
     void fail(const connection_pointer& connection)
     {
@@ -250,6 +321,9 @@
     std::set<connection_pointer> open;
     std::vector<connection_pointer> idle;
     std::deque<pending_call> waiting;
+    steady_timer timer;
+    /// When `timer` fires; empty when it isn't set.
+    std::optional<Common::instant> timerExpiry;
     std::uint64_t opened { 0 };
 };
 
--- a/Source/Core/EventLoop/HttpClient.h
+++ b/Source/Core/EventLoop/HttpClient.h
@@ -44,8 +44,8 @@
     http_client(const http_client&) = delete;
     http_client& operator=(const http_client&) = delete;
 
-    /// Sends a request. The handler is called once, on the event loop. `timeout` counts from this call and is enforced
-    /// once the call has been given a connection; a queued call gets neither a response nor a failure before that.
+    /// Sends a request. The handler is called once, on the event loop, `timeout` after this call at the latest; a call that
+    /// is still queued then fails as not sent. The headers of the response aren't kept.
     void call(http_request, Common::millis timeout, call_handler);
     /// Number of connections opened so far.
     std::uint64_t connectionsOpened() const;
