http_client: a response that announces an immense body fails

Callers saw: std::bad_alloc out of the event loop, which ends the process, when a response had a Content-Length far above the limit.

Cause: Beast announces the length of a response's body before it reports that the length is above the limit, and the space was reserved then.

Change: the parser checks the length itself.

The section 'malformed or too large' of the client's tests failed before with std::bad_alloc. The listener wasn't affected; a test says so.

--- a/Source/Core/EventLoop/ResponseParser.cpp
+++ b/Source/Core/EventLoop/ResponseParser.cpp
@@ -43,9 +43,12 @@
     return is_done() ? parse_progress::Complete : parse_progress::Incomplete;
 }
 
-void response_parser::on_body_init_impl(const boost::optional<std::uint64_t>& length, error_code&)
+void response_parser::on_body_init_impl(const boost::optional<std::uint64_t>& length, error_code& failed)
 {
-    if (length)
+    // Beast calls this before it reports a length above its limit.
+    if (length && *length > maxResponseBytes)
+        failed = http::error::body_limit;
+    else if (length)
         m_response.body.reserve(static_cast<std::size_t>(*length));
 }
 
--- a/Source/UnitTests/Core/EventLoop/HttpClientTest.cpp
+++ b/Source/UnitTests/Core/EventLoop/HttpClientTest.cpp
@@ -260,8 +260,9 @@
         CHECK(callScripted({ "HTTP/1.1 200 OK\r\nContent-Le" }).failure == call_failure::NoAnswer);
     }
 
-    SECTION("malformed")
+    SECTION("malformed or too large")
     {
         CHECK(callScripted({ "what?\r\n\r\n" }).failure == call_failure::NoAnswer);
+        CHECK(callScripted({ "HTTP/1.1 200 OK\r\nContent-Length: 99999999999\r\n\r\nhe" }).failure == call_failure::NoAnswer);
     }
 }
--- a/Source/UnitTests/Core/EventLoop/ListenerTest.cpp
+++ b/Source/UnitTests/Core/EventLoop/ListenerTest.cpp
@@ -95,3 +95,17 @@
     REQUIRE(tooLarge.response);
     CHECK(tooLarge.response->status == 413);
 }
+
+TEST_CASE("A request that announces an immense body is rejected", "[eventloop]")
+{
+    listener_fixture fixture;
+    const int handle = openAndSend(
+        fixture.listener.port(), "POST /a HTTP/1.1\r\nHost: h\r\nContent-Length: 99999999999999\r\n\r\nhalf");
+    fixture.loop.after(std::chrono::seconds(1), [&fixture] { fixture.loop.stop(); });
+    fixture.loop.run();
+    std::string answer(64, '\0');
+    const auto size = ::recv(handle, answer.data(), answer.size(), MSG_DONTWAIT);
+    CHECK(size > 0);
+    CHECK(answer.starts_with("HTTP/1.1 413 "));
+    ::close(handle);
+}
