Count the bytes of each kind of call

What a small leader lacks couldn't be told apart from the logs: they had no line on the size of calls, nor had the metrics address a counter.

HTTP clients and the listener count calls and the bytes of their messages by kind. The counters are shown on the metrics address, and every 5 s each instance writes a line `traffic` for each kind of call that it made.

--- a/Source/Core/ControlPlane/EntryNode.cpp
+++ b/Source/Core/ControlPlane/EntryNode.cpp
@@ -3,10 +3,14 @@
 #include "Common/Hashing.h"
 #include "Common/Logging.h"
 
+#include <utility>
+
 namespace ControlPlane {
 
 namespace {
 
+    /// Kind under which calls to the job API are counted.
+    constexpr auto callerTraffic = "callers";
     /// Shortest time between reads of the progress topic.
     constexpr Common::millis progressInterval { 200 };
     /// Submissions are spread over partitions because a slow store handles appends to one partition sequentially.
@@ -21,6 +25,7 @@
     constexpr Common::millis submitTimeout { 2300 };
     /// The load balancer checks once a second and removes an instance after two failed checks.
     constexpr Common::millis balancerRemovalTime { 2500 };
+    constexpr Common::millis trafficReportInterval { 5000 };
     constexpr Common::millis shutdownPollInterval { 50 };
     /// Part of the stop grace period that is reserved for the exit itself.
     constexpr Common::millis stopReserve { 700 };
@@ -104,10 +109,12 @@
             .progressTopic = m_parts.topics.progress,
             .statusTopic = m_parts.topics.status,
             .stopTime = m_settings.stopTime });
-    m_callerListener = std::make_unique<EventLoop::http_listener>(m_parts.loop, m_settings.callers,
+    m_callerListener = std::make_unique<EventLoop::http_listener>(
+        m_parts.loop, m_settings.callers,
         EventLoop::listener_limits {}, [this](const EventLoop::http_request& request, const EventLoop::responder& respond) {
             m_jobApi->handle(request, respond);
-        });
+        },
+        &m_parts.traffic, callerTraffic);
     m_readinessListener = std::make_unique<EventLoop::http_listener>(m_parts.loop, m_settings.readiness,
         EventLoop::listener_limits {}, [this](const EventLoop::http_request& request, const EventLoop::responder& respond) {
             answerReadiness(request, respond);
@@ -115,6 +122,7 @@
     if (!m_callerListener->start() || !m_readinessListener->start() || !startMetrics())
         return false;
     m_leadership->start();
+    reportTraffic();
     return true;
 }
 
@@ -124,15 +132,41 @@
         return true;
     m_metricsListener = std::make_unique<EventLoop::http_listener>(m_parts.loop, *m_settings.metrics,
         EventLoop::listener_limits {}, [this](const EventLoop::http_request&, const EventLoop::responder& respond) {
-            EventLoop::http_response response { .status = 200, .contentType = "text/plain" };
-            for (const auto& [name, count] : m_eventCounters.all())
-                response.body += "loft_" + name + ' ' + std::to_string(count) + '\n';
-            response.body += "loft_jobs " + std::to_string(m_jobRegistry.size()) + '\n';
-            respond(std::move(response));
+            respond({ .status = 200, .body = metricsText(), .contentType = "text/plain" });
         });
     return m_metricsListener->start();
 }
 
+std::string entry_node::metricsText() const
+{
+    std::string text;
+    const auto add = [&text](const std::string& name, auto count) { text += name + ' ' + std::to_string(count) + '\n'; };
+    for (const auto& [name, count] : m_eventCounters.all())
+        add("loft_" + name, count);
+    add("loft_jobs", m_jobRegistry.size());
+    for (const auto& [kind, count] : m_parts.traffic.all()) {
+        const auto label = "{kind=\"" + kind + "\"}";
+        add("loft_calls" + label, count.calls);
+        add("loft_sent_bytes" + label, count.sentBytes);
+        add("loft_received_bytes" + label, count.receivedBytes);
+    }
+    return text;
+}
+
+void entry_node::reportTraffic()
+{
+    for (const auto& [kind, count] : m_parts.traffic.all()) {
+        const auto earlier = std::exchange(m_reportedTraffic[kind], count);
+        if (count.calls == earlier.calls)
+            continue;
+        Common::writeEvent(Common::log_level::Info, Common::log_category::Daemon, "traffic",
+            { { "kind", kind }, { "calls", std::to_string(count.calls - earlier.calls) },
+                { "sent_bytes", std::to_string(count.sentBytes - earlier.sentBytes) },
+                { "received_bytes", std::to_string(count.receivedBytes - earlier.receivedBytes) } });
+    }
+    m_timers->after(trafficReportInterval, [this] { reportTraffic(); });
+}
+
 bool entry_node::isReady() const
 {
     const auto confirmed = m_operators->confirmedAt();
--- a/Source/Core/ControlPlane/EntryNode.h
+++ b/Source/Core/ControlPlane/EntryNode.h
@@ -6,6 +6,7 @@
 #include "ControlPlane/Listeners.h"
 #include "EventLoop/EventLoop.h"
 #include "EventLoop/HttpListener.h"
+#include "EventLoop/TrafficMeter.h"
 #include "Records/PartitionReaderGroup.h"
 
 namespace ControlPlane {
@@ -21,6 +22,7 @@
 /// Platform services that the node uses.
 struct entry_node_parts {
     EventLoop::event_loop& loop;
+    EventLoop::traffic_meter& traffic;
     Records::record_store& store;
     Dispatch::worker_gateway& workers;
     /// Null when instances can't be moved or maintained.
@@ -58,6 +60,9 @@
     bool isReady() const;
     void answerReadiness(const EventLoop::http_request&, const EventLoop::responder&) const;
     bool startMetrics();
+    std::string metricsText() const;
+    /// Writes a line for each kind of call since the last report, at regular intervals.
+    void reportTraffic();
     void finishShutdown();
     std::shared_ptr<Records::partition_reader> startReader(
         const Records::topic_partition&, Common::millis readInterval, Records::record_sink&);
@@ -83,6 +88,8 @@
     std::set<Common::data_centre_id> m_evacuated;
     bool m_isShuttingDown { false };
     Common::instant m_shutdownBegan;
+    /// Counts at the last report.
+    std::map<std::string, EventLoop::traffic_count> m_reportedTraffic;
 };
 
 }
--- a/Source/Core/EventLoop/HttpClient.cpp
+++ b/Source/Core/EventLoop/HttpClient.cpp
@@ -1,6 +1,7 @@
 #include "EventLoop/HttpClient.h"
 
 #include "EventLoop/EventLoop.h"
+#include "EventLoop/TrafficMeter.h"
 
 #include <utility>
 
@@ -62,6 +63,8 @@
         std::optional<pending_call> current;
         bool isConnected { false };
         bool wasSent { false };
+        std::size_t sentBytes { 0 };
+        std::size_t receivedBytes { 0 };
         /// Incremented with each use of the timer, so that the handler of an earlier use does nothing.
         std::uint64_t timerUse { 0 };
     };
@@ -102,6 +105,8 @@
     {
         connection->current = std::move(call);
         connection->wasSent = false;
+        connection->sentBytes = 0;
+        connection->receivedBytes = 0;
         armTimer(connection, connection->current->deadline);
         if (connection->isConnected)
             send(connection);
@@ -169,9 +174,10 @@
         }
         connection->wasSent = true;
         http::async_write(connection->stream, connection->request,
-            [pool = shared_from_this(), connection](const error_code& failed, std::size_t) {
+            [pool = shared_from_this(), connection](const error_code& failed, std::size_t size) {
                 if (!connection->current)
                     return;
+                connection->sentBytes = size;
                 if (failed)
                     pool->fail(connection);
                 else
@@ -184,9 +190,10 @@
         connection->parser.emplace();
         connection->parser->body_limit(maxResponseBytes);
         http::async_read(connection->stream, connection->buffer, *connection->parser,
-            [pool = shared_from_this(), connection](const error_code& failed, std::size_t) {
+            [pool = shared_from_this(), connection](const error_code& failed, std::size_t size) {
                 if (!connection->current)
                     return;
+                connection->receivedBytes = size;
                 if (failed)
                     pool->fail(connection);
                 else
@@ -198,6 +205,7 @@
     {
         auto message = connection->parser->release();
         const bool isKeepAlive = message.keep_alive();
+        meter(connection);
         const auto handler = std::move(connection->current->handler);
         connection->current.reset();
         ++connection->timerUse;
@@ -232,11 +240,18 @@
         open.erase(connection);
     }
 
+    void meter(const connection_pointer& connection) const
+    {
+        if (options.meter)
+            options.meter->add(connection->current->request.kind, connection->sentBytes, connection->receivedBytes);
+    }
+
     /// Fails the call and closes its connection.
     void fail(const connection_pointer& connection)
     {
         if (!connection->current)
             return;
+        meter(connection);
         const auto handler = std::move(connection->current->handler);
         const auto failure = connection->wasSent ? call_failure::NoAnswer : call_failure::NotSent;
         connection->current.reset();
--- a/Source/Core/EventLoop/HttpClient.h
+++ b/Source/Core/EventLoop/HttpClient.h
@@ -10,6 +10,7 @@
 namespace EventLoop {
 
 class event_loop;
+class traffic_meter;
 
 /// Why a call got no response.
 enum class call_failure {
@@ -34,6 +35,8 @@
     Common::millis connectTimeout { 500 };
     /// Idle connections are closed after this time, so that no call uses one that a firewall has dropped.
     Common::millis idleTimeout { 10000 };
+    /// Counts the messages. Null when they aren't counted.
+    traffic_meter* meter { nullptr };
 };
 
 /// HTTP/1.1 client of one server with persistent connections. A call that times out closes its connection.
--- a/Source/Core/EventLoop/HttpListener.cpp
+++ b/Source/Core/EventLoop/HttpListener.cpp
@@ -1,6 +1,7 @@
 #include "EventLoop/HttpListener.h"
 
 #include "EventLoop/EventLoop.h"
+#include "EventLoop/TrafficMeter.h"
 
 #include <utility>
 
@@ -76,7 +77,8 @@
             parser->header_limit(parent->limits.headerBytes);
             parser->body_limit(parent->limits.bodyBytes);
             http::async_read(
-                stream, buffer, *parser, [self = shared_from_this()](const error_code& failed, std::size_t) {
+                stream, buffer, *parser, [self = shared_from_this()](const error_code& failed, std::size_t size) {
+                    self->receivedBytes = size;
                     if (!failed)
                         self->handle();
                     else if (failed == http::error::body_limit)
@@ -117,7 +119,8 @@
             response.prepare_payload();
             stream.expires_after(parent->limits.idleTimeout);
             http::async_write(
-                stream, response, [self = shared_from_this()](const error_code& failed, std::size_t) {
+                stream, response, [self = shared_from_this()](const error_code& failed, std::size_t size) {
+                    self->parent->countMessages(size, self->receivedBytes);
                     self->endRequest();
                     if (failed || !self->isKeepAlive)
                         self->close();
@@ -155,20 +158,30 @@
         beast::flat_buffer buffer;
         std::optional<http::request_parser<http::string_body>> parser;
         http::response<http::string_body> response;
+        std::size_t receivedBytes { 0 };
         bool isKeepAlive { true };
         bool isIdle { false };
         bool hasOpenRequest { false };
     };
 
-    state(event_loop& owner, const Common::endpoint& where, const listener_limits& bounds, request_handler action)
+    state(event_loop& owner, const Common::endpoint& where, const listener_limits& bounds, request_handler action,
+        traffic_meter* counts, const std::string& callKind)
         : loop(owner)
         , address(where)
         , limits(bounds)
         , handler(std::move(action))
+        , meter(counts)
+        , kind(callKind)
         , acceptor(owner.context())
     {
     }
 
+    void countMessages(std::size_t sentBytes, std::size_t receivedBytes) const
+    {
+        if (meter)
+            meter->add(kind, sentBytes, receivedBytes);
+    }
+
     bool bind()
     {
         error_code error;
@@ -236,6 +249,8 @@
     Common::endpoint address;
     listener_limits limits;
     request_handler handler;
+    traffic_meter* meter;
+    std::string kind;
     tcp::acceptor acceptor;
     std::set<std::shared_ptr<session>> sessions;
     std::size_t openRequests { 0 };
@@ -243,8 +258,9 @@
 };
 
 http_listener::http_listener(
-    event_loop& loop, const Common::endpoint& address, const listener_limits& limits, request_handler handler)
-    : m_state(std::make_shared<state>(loop, address, limits, std::move(handler)))
+    event_loop& loop, const Common::endpoint& address, const listener_limits& limits, request_handler handler,
+    traffic_meter* meter, const std::string& kind)
+    : m_state(std::make_shared<state>(loop, address, limits, std::move(handler), meter, kind))
 {
 }
 
--- a/Source/Core/EventLoop/HttpListener.h
+++ b/Source/Core/EventLoop/HttpListener.h
@@ -9,6 +9,7 @@
 namespace EventLoop {
 
 class event_loop;
+class traffic_meter;
 
 /// Limits on requests and connections.
 struct listener_limits {
@@ -27,7 +28,9 @@
 /// HTTP/1.1 listener on the event loop. An idle connection uses a file descriptor, but no thread.
 class http_listener {
 public:
-    http_listener(event_loop&, const Common::endpoint&, const listener_limits&, request_handler);
+    /// `meter` counts the messages as calls of `kind`; null when they aren't counted.
+    http_listener(event_loop&, const Common::endpoint&, const listener_limits&, request_handler,
+        traffic_meter* meter = nullptr, const std::string& kind = {});
     ~http_listener();
     http_listener(const http_listener&) = delete;
     http_listener& operator=(const http_listener&) = delete;
--- a/Source/Core/EventLoop/HttpMessages.h
+++ b/Source/Core/EventLoop/HttpMessages.h
@@ -19,6 +19,8 @@
     std::vector<http_header> headers;
     std::string body;
     std::string contentType { "application/json" };
+    /// Kind under which a client counts the traffic of the call.
+    std::string kind;
 };
 
 struct http_response {
--- a/Source/UnitTests/Core/EventLoop/ListenerTest.cpp
+++ b/Source/UnitTests/Core/EventLoop/ListenerTest.cpp
@@ -1,6 +1,7 @@
 #include "EventLoop/EventLoop.h"
 #include "EventLoop/HttpClient.h"
 #include "EventLoop/HttpListener.h"
+#include "EventLoop/TrafficMeter.h"
 
 #include <arpa/inet.h>
 #include <catch2/catch.hpp>
@@ -95,3 +96,39 @@
     REQUIRE(tooLarge.response);
     CHECK(tooLarge.response->status == 413);
 }
+
+TEST_CASE("Client and listener count the bytes of their messages by kind", "[eventloop]")
+{
+    EventLoop::event_loop loop;
+    EventLoop::traffic_meter served;
+    EventLoop::traffic_meter sent;
+    const std::string body(700, 'x');
+    EventLoop::http_listener listener(
+        loop, { "127.0.0.1", 0 }, {},
+        [&body](const EventLoop::http_request&, const EventLoop::responder& respond) {
+            respond({ .status = 200, .body = body });
+        },
+        &served, "callers");
+    REQUIRE(listener.start());
+    EventLoop::http_client client(loop, { .server = { "127.0.0.1", listener.port() }, .meter = &sent });
+    client.call({ .method = "POST", .target = "/a", .body = "{}", .kind = "start" }, std::chrono::seconds(20),
+        [&client, &loop](const EventLoop::call_result&) {
+            client.call({ .method = "GET", .target = "/b", .kind = "poll" }, std::chrono::seconds(20),
+                [&loop](const EventLoop::call_result&) { loop.stop(); });
+        });
+    loop.run();
+    REQUIRE(sent.all().size() == 2);
+    const auto start = sent.all().at("start");
+    CHECK(start.calls == 1);
+    CHECK(start.sentBytes > 0);
+    CHECK(start.receivedBytes > body.size());
+    CHECK(sent.all().at("poll").sentBytes < start.sentBytes);
+
+    SECTION("both sides count the same bytes")
+    {
+        const auto& count = served.all().at("callers");
+        CHECK(count.calls == 2);
+        CHECK(count.receivedBytes == start.sentBytes + sent.all().at("poll").sentBytes);
+        CHECK(count.sentBytes == start.receivedBytes + sent.all().at("poll").receivedBytes);
+    }
+}
