Don't read the leader's own progress back

The appender hands each stored batch and its offset to the reader of the partition, which applies them in their order. While an instance leads, it reads the partition at its interval and doesn't wait for records, since such a read would be answered with its own next ones. Batches that follow records of others are kept until those have been read.

--- a/Source/Core/ControlPlane/LeaderTerm.cpp
+++ b/Source/Core/ControlPlane/LeaderTerm.cpp
@@ -133,7 +133,9 @@
               .epoch = options.token.value,
               .sequence = 1,
               .appendInterval = commitInterval,
-              .callTimeout = commitTimeout }))
+              .callTimeout = commitTimeout,
+              .onStored = [&reader = parts.progressReader](const auto& records,
+                              Common::log_offset first) { reader.applyStored(records, first); } }))
 {
     m_onLost = std::move(onLost);
     if (!parts.instances)
@@ -150,7 +152,12 @@
         });
 }
 
-void leader_term::startHeartbeats() { tick(); }
+void leader_term::startHeartbeats()
+{
+    // A read that waits for records would be answered with the leader's own.
+    m_parts.progressReader.setLongPolling(false);
+    tick();
+}
 
 void leader_term::start(const std::map<std::int64_t, Capacity::wave_status>& waves)
 {
@@ -173,6 +180,7 @@
 void leader_term::stop()
 {
     m_isOver = true;
+    m_parts.progressReader.setLongPolling(true);
     if (m_capacity)
         m_capacity->stop();
     m_appender->stop();
--- a/Source/Core/ControlPlane/LeaderTerm.h
+++ b/Source/Core/ControlPlane/LeaderTerm.h
@@ -22,6 +22,7 @@
     Jobs::job_registry& jobRegistry;
     leader_election& election;
     const progress_feed& progress;
+    Records::partition_reader& progressReader;
     counters& eventCounters;
 };
 
--- a/Source/Core/ControlPlane/LeadershipManager.cpp
+++ b/Source/Core/ControlPlane/LeadershipManager.cpp
@@ -57,6 +57,7 @@
                                                .jobRegistry = m_parts.jobRegistry,
                                                .election = *m_election,
                                                .progress = m_parts.progressFeed,
+                                               .progressReader = m_parts.progress,
                                                .eventCounters = m_parts.eventCounters },
         leader_term_options { .token = { won.token },
             .number = won.number,
--- a/Source/Core/Records/BatchAppender.cpp
+++ b/Source/Core/Records/BatchAppender.cpp
@@ -114,6 +114,8 @@
     switch (result.outcome) {
     case append_outcome::Stored:
         ++m_options.sequence;
+        if (m_options.onStored)
+            m_options.onStored(m_request.records, result.offset);
         finish(append_outcome::Stored);
         return;
     case append_outcome::Fenced:
--- a/Source/Core/Records/BatchAppender.h
+++ b/Source/Core/Records/BatchAppender.h
@@ -20,6 +20,8 @@
     Common::millis giveUpRefusedAfter { 250 };
     std::size_t maxRecords { 400 };
     std::size_t maxBytes { 1000000 };
+    /// Called with the records of each batch that was stored, and the offset of the first. May be empty.
+    std::function<void(const std::vector<keyed_record>&, Common::log_offset)> onStored;
 };
 
 /// Appends records of one writer in batches, one batch at a time, each stored at most once.
--- a/Source/Core/Records/PartitionReader.cpp
+++ b/Source/Core/Records/PartitionReader.cpp
@@ -9,6 +9,8 @@
 
     /// Delay after a read without an answer.
     constexpr Common::millis retryDelay { 150 };
+    /// Number of stored batches that may wait for earlier records to be read.
+    constexpr std::size_t maxStoredAhead = 256;
 
 }
 
@@ -63,7 +65,8 @@
 void partition_reader::readNext()
 {
     const auto began = m_timers.now();
-    m_store.read(m_options.partition, m_next, m_options.wait, m_options.wait + m_options.timeoutMargin,
+    const auto wait = m_isLongPolling ? m_options.wait : Common::millis(0);
+    m_store.read(m_options.partition, m_next, wait, wait + m_options.timeoutMargin,
         [self = shared_from_this(), began](const read_result& result) { self->onRead(result, began, true); });
 }
 
@@ -71,6 +74,7 @@
 {
     if (result.outcome == read_outcome::Gone && isLoop) {
         m_isLoaded = false;
+        m_storedAhead.clear();
         readNewest({});
         return;
     }
@@ -87,7 +91,7 @@
         m_sink.batchApplied();
     if (!isLoop)
         return;
-    if (hasNewRecords)
+    if (hasNewRecords || !m_isLongPolling)
         delayNextRead();
     else
         readNext();
@@ -119,6 +123,35 @@
             m_sink.apply(record);
     }
     m_next = std::max(m_next, result.next);
+    applyContiguous();
+}
+
+void partition_reader::applyStored(std::vector<keyed_record> records, Common::log_offset first)
+{
+    if (!m_isLoaded)
+        return;
+    // They are read like others when too many wait for earlier ones.
+    if (m_storedAhead.size() >= maxStoredAhead)
+        m_storedAhead.clear();
+    m_storedAhead.emplace(first, std::move(records));
+    applyContiguous();
+}
+
+void partition_reader::applyContiguous()
+{
+    while (!m_storedAhead.empty() && m_storedAhead.begin()->first <= m_next) {
+        auto batch = m_storedAhead.extract(m_storedAhead.begin());
+        auto offset = batch.key();
+        for (auto& record : batch.mapped()) {
+            record.offset = offset;
+            ++offset.value;
+            if (record.offset < m_next)
+                continue;
+            m_sink.apply(record);
+            m_next = offset;
+        }
+        m_sink.batchApplied();
+    }
 }
 
 void partition_reader::retryLater()
--- a/Source/Core/Records/PartitionReader.h
+++ b/Source/Core/Records/PartitionReader.h
@@ -2,6 +2,7 @@
 
 #include "Records/RecordStore.h"
 
+#include <map>
 #include <memory>
 
 namespace Records {
@@ -37,6 +38,10 @@
     void start();
     /// A shorter interval takes effect at once.
     void setInterval(Common::millis readInterval);
+    /// Whether reads wait at the store for records. Otherwise it is read at each interval.
+    void setLongPolling(bool isLongPolling) { m_isLongPolling = isLongPolling; }
+    /// Applies records that this process has stored from `first` on, in their order, so that they aren't read back.
+    void applyStored(std::vector<keyed_record>, Common::log_offset first);
     /// Calls back once a read that began no earlier than this call has reached the end, or with false after `limit`.
     void refresh(Common::millis limit, std::function<void(bool)> action);
     /// Start of the latest read that reached the end of the partition. Empty before the first.
@@ -58,6 +63,7 @@
     void readNext();
     void onRead(const read_result&, Common::instant began, bool isLoop);
     void applyAll(const read_result&);
+    void applyContiguous();
     void confirm(Common::instant began);
     void delayNextRead();
     void retryLater();
@@ -68,9 +74,12 @@
     partition_reader_options m_options;
     record_sink& m_sink;
     std::vector<keyed_record> m_newest;
+    /// Batches that were stored after records that are still to be read, by the offset of their first record.
+    std::map<Common::log_offset, std::vector<keyed_record>> m_storedAhead;
     std::optional<Common::log_offset> m_newestEnd;
     Common::log_offset m_next;
     bool m_isLoaded { false };
+    bool m_isLongPolling { true };
     bool m_isDelayed { false };
     /// Counts the delays, so that the timer of one that was cut short has no effect.
     std::uint64_t m_delays { 0 };
--- a/Source/UnitTests/Core/ControlPlane/LeaderTermTest.cpp
+++ b/Source/UnitTests/Core/ControlPlane/LeaderTermTest.cpp
@@ -87,6 +87,7 @@
                 .jobRegistry = jobRegistry,
                 .election = *election,
                 .progress = feed,
+                .progressReader = *reader,
                 .eventCounters = eventCounters },
             ControlPlane::leader_term_options { .token = { won.token },
                 .number = won.number,
@@ -179,3 +180,43 @@
     s.manager.open[0](Capacity::instance_outcome::Done);
     CHECK_FALSE(s.term->hasOpenOrders());
 }
+
+TEST_CASE("A leader doesn't read its own progress back from the store", "[station]")
+{
+    constexpr int jobs = 100;
+    term_fixture s;
+    s.reader->setInterval(Common::millis(200));
+    s.startDispatching();
+    // Until the last read that waits for records has been answered.
+    s.timers.advance(Common::millis(2500));
+    const auto readBefore = s.store.recordsRead[progress];
+    for (int job = 0; job < jobs; ++job) {
+        s.accept("j" + std::to_string(job));
+        s.timers.advance(Common::millis(20));
+    }
+    // Only what is stored while a read is under way is returned by it.
+    const auto stored = s.store.partitions[progress].end();
+    REQUIRE(stored > jobs);
+    CHECK(s.store.recordsRead[progress] - readBefore < stored / 5);
+
+    SECTION("its view is complete")
+    {
+        s.timers.advance(Common::millis(100));
+        CHECK(s.reader->next().value == s.store.partitions[progress].end());
+    }
+    SECTION("a record of another writer is read")
+    {
+        s.store.put(progress, "@holder", ControlPlane::claimRecord({ .member = "other", .number = 9 }).value);
+        s.timers.advance(Common::millis(200));
+        CHECK(s.feed.claim().number == 9);
+        CHECK(s.lost == 1);
+    }
+    SECTION("after the term, reads wait for records again")
+    {
+        s.term->stop();
+        s.timers.advance(Common::millis(1000));
+        const auto reads = s.store.reads;
+        s.timers.advance(Common::millis(10000));
+        CHECK(s.store.reads - reads <= 11);
+    }
+}
--- a/Source/UnitTests/Core/Records/FakeStore.h
+++ b/Source/UnitTests/Core/Records/FakeStore.h
@@ -196,6 +196,7 @@
             result.records.push_back(record);
             result.next = { record.offset.value + 1 };
         }
+        recordsRead[topicPartition] += static_cast<int>(result.records.size());
         return result;
     }
 
@@ -208,5 +209,7 @@
     std::set<Records::topic_partition> silentPartitions;
     int appends { 0 };
     int reads { 0 };
+    /// Records that were returned to readers, by partition.
+    std::map<Records::topic_partition, int> recordsRead;
     int listings { 0 };
 };
