Store the progress of jobs in fewer bytes

The leader stored 305 KB/s of progress on 350 workers, and each of the 44 other instances read it. A record had a row for each task that is done or placed, each with the worker's id, and all rows are written again at each change.

A record now has ranges of the tasks that are done, each worker's id once, and run numbers as differences from the lowest one; a checkpoint and failed runs only where there are any. Records of the earlier form are still read. Instances of an earlier version can't read the new ones.

--- a/Source/Core/Jobs/JobCodec.cpp
+++ b/Source/Core/Jobs/JobCodec.cpp
@@ -2,6 +2,8 @@
 
 #include "Common/JsonFields.h"
 
+#include <algorithm>
+
 namespace Jobs {
 
 using Common::json;
@@ -62,8 +64,139 @@
         return step;
     }
 
-    /// The row of a task that is done has just its three indexes; other rows also have the task's state.
-    task_progress taskFromJson(const json& row)
+    /// Position of a worker in a progress record for a task that isn't placed.
+    constexpr std::int64_t noWorker = -1;
+    /// More tasks than a range of a valid record has.
+    constexpr std::int64_t maxRangeLength = 1000000;
+
+    /// Writes tasks by step, in their order. Of a step, a number is the index of a task that is done, two numbers are
+    /// the first and the last index of a range of them, and a longer row is a task with its state. Workers are written
+    /// once, and run numbers as the difference from the lowest one.
+    class progress_writer {
+    public:
+        explicit progress_writer(const job_progress& progress)
+            : m_progress(progress)
+        {
+            for (const auto& task : progress.tasks) {
+                if (!task.isDone)
+                    m_runBase = m_runBase ? std::min(*m_runBase, task.run) : task.run;
+            }
+        }
+
+        json write()
+        {
+            const auto& tasks = m_progress.tasks;
+            for (std::size_t first = 0; first < tasks.size();) {
+                auto last = first;
+                while (last + 1 < tasks.size() && isFollowing(tasks[last], tasks[last + 1]))
+                    ++last;
+                stepOf(tasks[first]).push_back(row(tasks[first], tasks[last]));
+                first = last + 1;
+            }
+            json out { { "s", static_cast<int>(m_progress.state) } };
+            if (tasks.empty())
+                return out;
+            out["steps"] = m_steps;
+            if (!m_workers.empty())
+                out["w"] = m_workers;
+            if (m_runBase)
+                out["r"] = *m_runBase;
+            return out;
+        }
+
+    private:
+        static bool isFollowing(const task_progress& task, const task_progress& next)
+        {
+            return task.isDone && next.isDone && task.occurrence == next.occurrence && task.step == next.step
+                && task.index + 1 == next.index;
+        }
+
+        json& stepOf(const task_progress& task)
+        {
+            const bool isSame = !m_steps.empty() && m_steps.back()[0] == task.occurrence && m_steps.back()[1] == task.step;
+            if (!isSame)
+                m_steps.push_back(json::array({ task.occurrence, task.step }));
+            return m_steps.back();
+        }
+
+        json row(const task_progress& task, const task_progress& last)
+        {
+            if (task.isDone)
+                return task.index == last.index ? json(task.index) : json::array({ task.index, last.index });
+            auto out = json::array({ task.index, positionOf(task.worker), task.run - *m_runBase });
+            if (!task.checkpoint.empty() || !task.failedRuns.empty())
+                out.push_back(task.checkpoint);
+            if (!task.failedRuns.empty())
+                out.push_back(task.failedRuns);
+            return out;
+        }
+
+        std::int64_t positionOf(const Common::worker_id& worker)
+        {
+            if (worker.empty())
+                return noWorker;
+            const auto found = std::find(m_workers.begin(), m_workers.end(), worker);
+            const auto position = found - m_workers.begin();
+            if (found == m_workers.end())
+                m_workers.push_back(worker);
+            return position;
+        }
+
+        const job_progress& m_progress;
+        json m_steps = json::array();
+        std::vector<Common::worker_id> m_workers;
+        std::optional<std::int64_t> m_runBase;
+    };
+
+    void rangeFromJson(const json& row, task_progress task, std::vector<task_progress>& tasks)
+    {
+        const auto first = row.at(0).get<std::int64_t>();
+        const auto last = row.at(1).get<std::int64_t>();
+        if (last < first || last - first >= maxRangeLength)
+            throw json::other_error::create(Common::jsonOtherError, "invalid range of tasks", nullptr);
+        for (auto index = first; index <= last; ++index) {
+            task.index = static_cast<int>(index);
+            tasks.push_back(task);
+        }
+    }
+
+    void rowFromJson(const json& row, const json& record, task_progress task, std::vector<task_progress>& tasks)
+    {
+        constexpr std::size_t rangeSize = 2;
+        task.isDone = row.is_number() || row.size() <= rangeSize;
+        if (row.is_array() && task.isDone) {
+            rangeFromJson(row, task, tasks);
+            return;
+        }
+        task.index = (task.isDone ? row : row.at(0)).get<int>();
+        if (!task.isDone) {
+            const auto position = row.at(1).get<std::int64_t>();
+            if (position != noWorker)
+                task.worker = record.at("w").at(static_cast<std::size_t>(position)).get<Common::worker_id>();
+            task.run = record.at("r").get<std::int64_t>() + row.at(2).get<std::int64_t>();
+            if (row.size() > 3)
+                task.checkpoint = row.at(3).get<std::string>();
+            if (row.size() > 4)
+                task.failedRuns = row.at(4).get<std::vector<std::int64_t>>();
+        }
+        tasks.push_back(std::move(task));
+    }
+
+    std::vector<task_progress> tasksFromJson(const json& record)
+    {
+        std::vector<task_progress> tasks;
+        if (!record.contains("steps"))
+            return tasks;
+        for (const auto& step : record.at("steps")) {
+            const task_progress task { .occurrence = step.at(0).get<int>(), .step = step.at(1).get<int>() };
+            for (std::size_t position = 2; position < step.size(); ++position)
+                rowFromJson(step.at(position), record, task, tasks);
+        }
+        return tasks;
+    }
+
+    /// Task in a record of the earlier form. The row of a task that is done has just its three indexes.
+    task_progress taskFromEarlierForm(const json& row)
     {
         constexpr std::size_t doneSize = 3;
         task_progress task { .occurrence = row.at(0).get<int>(),
@@ -129,18 +262,7 @@
 
 std::string encodeProgress(const job_progress& progress)
 {
-    json tasks = json::array();
-    for (const auto& task : progress.tasks) {
-        json row = json::array({ task.occurrence, task.step, task.index });
-        if (!task.isDone) {
-            row.push_back(task.failedRuns);
-            row.push_back(task.checkpoint);
-            row.push_back(task.worker);
-            row.push_back(task.run);
-        }
-        tasks.push_back(std::move(row));
-    }
-    return Common::writeJson({ { "state", static_cast<int>(progress.state) }, { "tasks", tasks } });
+    return Common::writeJson(progress_writer(progress).write());
 }
 
 std::optional<job_progress> decodeProgress(const Common::job_id& job, std::string_view bytes)
@@ -148,9 +270,14 @@
     return tryDecode(bytes, [&job](const json& in) {
         job_progress progress;
         progress.job = job;
-        progress.state = Common::enumFromJson(in.at("state"), lastState);
+        const bool isEarlierForm = in.contains("state");
+        progress.state = Common::enumFromJson(in.at(isEarlierForm ? "state" : "s"), lastState);
+        if (!isEarlierForm) {
+            progress.tasks = tasksFromJson(in);
+            return progress;
+        }
         for (const auto& row : in.at("tasks"))
-            progress.tasks.push_back(taskFromJson(row));
+            progress.tasks.push_back(taskFromEarlierForm(row));
         return progress;
     });
 }
--- a/Source/UnitTests/Core/Jobs/JobCodecTest.cpp
+++ b/Source/UnitTests/Core/Jobs/JobCodecTest.cpp
@@ -5,6 +5,8 @@
 #include <rapidcheck.h>
 #include <rapidcheck/catch.h>
 
+#include <random>
+
 using Jobs::job_state;
 
 namespace {
@@ -50,8 +52,99 @@
     CHECK(Jobs::decodeProgress(job.id, Jobs::encodeProgress(progress)) == progress);
 }
 
+TEST_CASE("Random progress decodes to the same value", "[jobs]")
+{
+    std::mt19937 random(20261204);
+    const auto upTo = [&random](int limit) { return std::uniform_int_distribution(0, limit)(random); };
+    for (int round = 0; round < 2000; ++round) {
+        Jobs::job_progress progress { .job = { "j" }, .state = static_cast<job_state>(upTo(4)) };
+        for (int count = upTo(40); count > 0; --count) {
+            Jobs::task_progress task { .occurrence = upTo(1), .step = upTo(2), .index = upTo(9), .isDone = upTo(1) == 1 };
+            // The next task of the step, as in the records of the dispatcher.
+            if (!progress.tasks.empty() && upTo(2) > 0) {
+                const auto& previous = progress.tasks.back();
+                task.occurrence = previous.occurrence;
+                task.step = previous.step;
+                task.index = previous.index + 1;
+            }
+            if (!task.isDone) {
+                for (int failures = upTo(3) - 1; failures > 0; --failures)
+                    task.failedRuns.push_back(upTo(5000));
+                task.checkpoint = std::string(static_cast<std::size_t>(upTo(1) * upTo(20)), 'c');
+                if (upTo(2) > 0)
+                    task.worker.value = "worker-" + std::to_string(upTo(12));
+                task.run = upTo(1) * (1000 + upTo(7000));
+            }
+            progress.tasks.push_back(task);
+        }
+        CAPTURE(round, Jobs::encodeProgress(progress));
+        REQUIRE(Jobs::decodeProgress(progress.job, Jobs::encodeProgress(progress)) == progress);
+    }
+}
+
+TEST_CASE("Progress of a job with many tasks is encoded in few bytes", "[jobs]")
+{
+    constexpr int tasks = 40;
+    Jobs::job_progress progress { .job = { "j" }, .state = job_state::Running };
+    const auto add = [&progress](int index, int worker) {
+        progress.tasks.push_back({ .index = index,
+            .isDone = worker < 0,
+            .worker = { worker < 0 ? "" : "i-0990000" + std::to_string(100 + worker) },
+            .run = worker < 0 ? 0 : 12001 });
+    };
+    SECTION("all of them placed, each on its own worker")
+    {
+        for (int index = 0; index < tasks; ++index)
+            add(index, index);
+        CHECK(Jobs::encodeProgress(progress).size() < tasks * 27);
+    }
+    SECTION("all of them placed on four workers")
+    {
+        for (int index = 0; index < tasks; ++index)
+            add(index, index % 4);
+        CHECK(Jobs::encodeProgress(progress).size() < tasks * 12);
+    }
+    SECTION("all but the last one are done")
+    {
+        for (int index = 0; index + 1 < tasks; ++index)
+            add(index, -1);
+        add(tasks - 1, 3);
+        CHECK(Jobs::encodeProgress(progress).size() < 80);
+    }
+    SECTION("the job is over")
+    {
+        CHECK(Jobs::encodeProgress({ .job = { "j" }, .state = job_state::Completed }).size() < 10);
+    }
+    CHECK(Jobs::decodeProgress(progress.job, Jobs::encodeProgress(progress)) == progress);
+}
+
+TEST_CASE("Progress that an earlier version stored is read", "[jobs]")
+{
+    const auto read = Jobs::decodeProgress(
+        { "j" }, R"({"state":1,"tasks":[[0,1,17,[3],"c","w",1001],[0,0,2],[0,1,4,[],"","",0]]})");
+    const Jobs::job_progress expected { .job = { "j" },
+        .state = job_state::Running,
+        .tasks = { { .occurrence = 0,
+                       .step = 1,
+                       .index = 17,
+                       .failedRuns = { 3 },
+                       .checkpoint = "c",
+                       .worker = { "w" },
+                       .run = 1001 },
+            { .occurrence = 0, .step = 0, .index = 2, .isDone = true },
+            { .occurrence = 0, .step = 1, .index = 4 } } };
+    CHECK(read == expected);
+}
+
 TEST_CASE("Bytes that aren't a valid job or progress are rejected", "[jobs]")
 {
+    for (const auto* bytes : { "{}", "[]", R"({"s":5})", R"({"s":1,"steps":[[0]]})", R"({"s":1,"steps":[[0,0,[1]]]})",
+             R"({"s":1,"steps":[[0,0,[3,1]]]})", R"({"s":1,"steps":[[0,0,[0,2000000000]]]})",
+             R"({"s":1,"steps":[[0,0,[0,1,0]]],"w":["a"],"r":1})", R"({"s":1,"steps":[[0,0,[0,-2,0]]],"w":["a"],"r":1})",
+             R"({"s":1,"steps":[[0,0,[0,0,0]]],"w":["a"]})", R"({"s":1,"steps":[[0,0,"1"]]})" }) {
+        CAPTURE(bytes);
+        CHECK_FALSE(Jobs::decodeProgress({ "j" }, bytes));
+    }
     CHECK_FALSE(Jobs::decodeJob("{}"));
     CHECK_FALSE(Jobs::decodeJob(R"({"id":7})"));
     CHECK_FALSE(Jobs::decodeProgress({ "j" }, R"({"state":99,"tasks":[]})"));
