--- a/Source/Bench/Calls.cpp
+++ b/Source/Bench/Calls.cpp
@@ -3,6 +3,7 @@
 #include "Common/Logging.h"
 #include "EventLoop/EventLoop.h"
 #include "EventLoop/HttpListener.h"
+#include "EventLoop/TrafficMeter.h"
 #include "platform/Names.h"
 #include "platform/WorkerClient.h"
 
@@ -98,7 +99,7 @@
     class exchange_load {
     public:
         exchange_load(const stand_in_worker& server, bool usesPolls)
-            : m_client(m_loop)
+            : m_client(m_loop, m_traffic)
             , m_server(server)
             , m_usesPolls(usesPolls)
             , m_payload(payloadBytes, 'p')
@@ -164,6 +165,7 @@
         }
 
         EventLoop::event_loop m_loop;
+        EventLoop::traffic_meter m_traffic;
         Platform::worker_client m_client;
         const stand_in_worker& m_server;
         bool m_usesPolls;
--- a/Source/Core/ControlPlane/EntryNode.cpp
+++ b/Source/Core/ControlPlane/EntryNode.cpp
@@ -4,10 +4,14 @@
 #include "Common/Logging.h"
 #include "Common/ProcessorTime.h"
 
+#include <utility>
+
 namespace ControlPlane {
 
 namespace {
 
+    /// Kind under which calls to the job API are counted.
+    constexpr auto callerTraffic = "callers";
     /// Shortest time between reads of the progress topic.
     constexpr Common::millis progressInterval { 200 };
     /// Submissions are spread over partitions because a slow store handles appends to one partition sequentially.
@@ -22,6 +26,7 @@
     constexpr Common::millis submitTimeout { 2300 };
     /// The load balancer checks once a second and removes an instance after two failed checks.
     constexpr Common::millis balancerRemovalTime { 2500 };
+    constexpr Common::millis trafficReportInterval { 5000 };
     constexpr Common::millis shutdownPollInterval { 50 };
     constexpr Common::millis loadInterval { 200 };
     /// Part of the stop grace period that is reserved for the exit itself.
@@ -115,10 +120,12 @@
             .progressTopic = m_parts.topics.progress,
             .statusTopic = m_parts.topics.status,
             .stopTime = m_settings.stopTime });
-    m_callerListener = std::make_unique<EventLoop::http_listener>(m_parts.loop, m_settings.callers,
+    m_callerListener = std::make_unique<EventLoop::http_listener>(
+        m_parts.loop, m_settings.callers,
         EventLoop::listener_limits {}, [this](const EventLoop::http_request& request, const EventLoop::responder& respond) {
             m_jobApi->handle(request, respond);
-        });
+        },
+        &m_parts.traffic, callerTraffic);
     m_readinessListener = std::make_unique<EventLoop::http_listener>(m_parts.loop, m_settings.readiness,
         EventLoop::listener_limits {}, [this](const EventLoop::http_request& request, const EventLoop::responder& respond) {
             answerReadiness(request, respond);
@@ -127,6 +134,7 @@
         return false;
     m_leadership->start();
     watchLoad();
+    reportTraffic();
     return true;
 }
 
@@ -145,20 +153,18 @@
         return true;
     m_metricsListener = std::make_unique<EventLoop::http_listener>(m_parts.loop, *m_settings.metrics,
         EventLoop::listener_limits {}, [this](const EventLoop::http_request&, const EventLoop::responder& respond) {
-            answerMetrics(respond);
+            respond({ .status = 200, .body = metricsText(), .contentType = "text/plain" });
         });
     return m_metricsListener->start();
 }
 
-void entry_node::answerMetrics(const EventLoop::responder& respond) const
+std::string entry_node::metricsText() const
 {
-    EventLoop::http_response response { .status = 200, .contentType = "text/plain" };
-    const auto add = [&response](const std::string& name, std::int64_t value) {
-        response.body += "loft_" + name + ' ' + std::to_string(value) + '\n';
-    };
+    std::string text;
+    const auto add = [&text](const std::string& name, auto value) { text += "loft_" + name + ' ' + std::to_string(value) + '\n'; };
     for (const auto& [name, count] : m_eventCounters.all())
         add(name, count);
-    add("jobs", static_cast<std::int64_t>(m_jobRegistry.size()));
+    add("jobs", m_jobRegistry.size());
     add("loop_behind", m_load.isBehind() ? 1 : 0);
     add("loop_last_lag_ms", m_load.lag().count());
     const auto* load = m_leadership ? m_leadership->load() : nullptr;
@@ -167,7 +173,27 @@
         for (const auto& gauge : load->gauges())
             add(std::string("leader_") + gauge.name, gauge.value);
     }
-    respond(std::move(response));
+    for (const auto& [kind, count] : m_parts.traffic.all()) {
+        const auto label = "{kind=\"" + kind + "\"}";
+        add("calls" + label, count.calls);
+        add("sent_bytes" + label, count.sentBytes);
+        add("received_bytes" + label, count.receivedBytes);
+    }
+    return text;
+}
+
+void entry_node::reportTraffic()
+{
+    for (const auto& [kind, count] : m_parts.traffic.all()) {
+        const auto earlier = std::exchange(m_reportedTraffic[kind], count);
+        if (count.calls == earlier.calls)
+            continue;
+        Common::writeEvent(Common::log_level::Info, Common::log_category::Daemon, "traffic",
+            { { "kind", kind }, { "calls", std::to_string(count.calls - earlier.calls) },
+                { "sent_bytes", std::to_string(count.sentBytes - earlier.sentBytes) },
+                { "received_bytes", std::to_string(count.receivedBytes - earlier.receivedBytes) } });
+    }
+    m_timers->after(trafficReportInterval, [this] { reportTraffic(); });
 }
 
 bool entry_node::isReady() const
--- a/Source/Core/ControlPlane/LeaderTerm.h
+++ b/Source/Core/ControlPlane/LeaderTerm.h
@@ -24,6 +24,7 @@
     Jobs::job_registry& jobRegistry;
     leader_election& election;
     const progress_feed& progress;
+    Records::partition_reader& progressReader;
     counters& eventCounters;
     const leader_health& health;
 };
--- a/Source/Core/EventLoop/HttpClient.cpp
+++ b/Source/Core/EventLoop/HttpClient.cpp
@@ -1,8 +1,8 @@
 #include "EventLoop/HttpClient.h"
 
 #include "EventLoop/EventLoop.h"
-
 #include "EventLoop/ResponseParser.h"
+#include "EventLoop/TrafficMeter.h"
 
 #include <utility>
 
@@ -86,6 +86,8 @@
         Common::instant expiry;
         bool isConnected { false };
         bool wasSent { false };
+        std::size_t sentBytes { 0 };
+        std::size_t receivedBytes { 0 };
     };
     using connection_pointer = std::shared_ptr<http_connection>;
 
@@ -126,6 +128,8 @@
     {
         connection->current = std::move(call);
         connection->wasSent = false;
+        connection->sentBytes = 0;
+        connection->receivedBytes = 0;
         connection->expiry = connection->current->deadline;
         if (connection->isConnected)
             send(connection);
@@ -224,14 +228,16 @@
             return;
         }
         connection->wasSent = true;
+        connection->sentBytes = sent;
         if (sent == outgoing.size()) {
             receive(connection);
             return;
         }
         boost::asio::async_write(connection->socket, boost::asio::buffer(outgoing) + sent,
-            [pool = shared_from_this(), connection](const error_code& error, std::size_t) {
+            [pool = shared_from_this(), connection](const error_code& error, std::size_t size) {
                 if (!connection->current)
                     return;
+                connection->sentBytes += size;
                 if (error)
                     pool->fail(connection);
                 else
@@ -258,6 +264,7 @@
     void onRead(const connection_pointer& connection, const error_code& failed, std::size_t received)
     {
         connection->buffer.commit(received);
+        connection->receivedBytes += received;
         const auto progress = failed == boost::asio::error::eof
             ? connection->parser->finishAtEnd()
             : connection->parser->parse(connection->buffer);
@@ -271,6 +278,7 @@
 
     void finish(const connection_pointer& connection)
     {
+        meter(connection);
         const auto handler = std::move(connection->current->handler);
         connection->current.reset();
         // Bytes after the response can't belong to a later one.
@@ -297,6 +305,12 @@
         open.erase(connection);
     }
 
+    void meter(const connection_pointer& connection) const
+    {
+        if (options.meter)
+            options.meter->add(connection->current->request.kind, connection->sentBytes, connection->receivedBytes);
+    }
+
     /// Fails the call from the event loop, so that no handler is called before call() returns.
     void failLater(const connection_pointer& connection)
     {
@@ -308,6 +322,7 @@
     {
         if (!connection->current)
             return;
+        meter(connection);
         const auto handler = std::move(connection->current->handler);
         const auto failure = connection->wasSent ? call_failure::NoAnswer : call_failure::NotSent;
         connection->current.reset();
--- a/Source/UnitTests/Core/ControlPlane/OverloadedLeaderTest.cpp
+++ b/Source/UnitTests/Core/ControlPlane/OverloadedLeaderTest.cpp
@@ -206,6 +206,7 @@
                 .jobRegistry = jobRegistry,
                 .election = *election,
                 .progress = feed,
+                .progressReader = *reader,
                 .eventCounters = eventCounters,
                 .health = health },
             ControlPlane::leader_term_options { .token = { won.token },
--- a/Source/UnitTests/Core/Records/FakeStore.h
+++ b/Source/UnitTests/Core/Records/FakeStore.h
@@ -91,8 +91,13 @@
         timers.after(wait, [this, request, timeout, handler] {
             const auto size = sizeOf(readNow(request).records);
             answer(
-                timeout, handler, [this, request] { return readNow(request); }, Records::read_result {},
-                Records::read_result {}, transferTime(size));
+                timeout, handler,
+                [this, request] {
+                    auto result = readNow(request);
+                    recordsRead[request.partition] += static_cast<int>(result.records.size());
+                    return result;
+                },
+                Records::read_result {}, Records::read_result {}, transferTime(size));
         });
     }
 
@@ -243,5 +248,7 @@
     std::set<Records::topic_partition> silentPartitions;
     int appends { 0 };
     int reads { 0 };
+    /// Records that were returned to readers, by partition.
+    std::map<Records::topic_partition, int> recordsRead;
     int listings { 0 };
 };
