--- a/Source/Core/ControlPlane/LeaderElection.cpp
+++ b/Source/Core/ControlPlane/LeaderElection.cpp
@@ -3,6 +3,9 @@
 #include "Common/Hashing.h"
 #include "Common/Logging.h"
 
+#include <algorithm>
+#include <utility>
+
 namespace ControlPlane {
 
 namespace {
@@ -78,30 +81,47 @@
 
 bool leader_election::isVacant() const { return m_feed.released() >= m_feed.claim().number; }
 
-bool leader_election::canStartTerm()
+void leader_election::logObstacle()
 {
-    const auto obstacle = m_findObstacle ? m_findObstacle() : term_obstacle::None;
-    if (obstacle != m_loggedObstacle && obstacle != term_obstacle::None)
+    if (std::exchange(m_loggedObstacle, m_obstacle) != m_obstacle)
         Common::writeEvent(Common::log_level::Info, Common::log_category::Membership, "claim_deferred",
-            { { "reason", toText(obstacle) }, { "number", std::to_string(m_feed.claim().number + 1) } });
-    m_loggedObstacle = obstacle;
-    return obstacle == term_obstacle::None;
+            { { "reason", toText(m_obstacle) }, { "number", std::to_string(m_feed.claim().number + 1) } });
 }
 
-Common::millis leader_election::claimAfter() const
+Common::millis leader_election::vacancyTime() const
 {
+    if (!isVacant())
+        return leaderTimeout;
+    return m_feed.successor().empty() || isNamedSuccessor() ? Common::millis(0) : successorWait;
+}
+
+Common::millis leader_election::standbyTime() const
+{
+    if (isNamedSuccessor())
+        return Common::millis(0);
     const Common::millis stagger { static_cast<std::int64_t>(
         Common::rendezvousRank(m_options.member, std::to_string(m_feed.claim().number)) % maxStaggerMillis) };
     auto reference = roomOf(m_feed.claim().capacity);
     const auto& request = m_feed.handoverRequest();
     if (request && request->claim == m_feed.claim().number)
         reference = std::max(reference, roomOf(request->capacity));
-    const auto delay = stagger + claimDelay(roomOf(m_options.capacity), reference);
-    if (!isVacant())
-        return leaderTimeout + delay;
-    if (isNamedSuccessor())
-        return Common::millis(0);
-    return m_feed.successor().empty() ? delay : successorWait + delay;
+    return stagger + claimDelay(roomOf(m_options.capacity), reference);
+}
+
+bool leader_election::isClaimDue(Common::instant now)
+{
+    m_obstacle = m_findObstacle ? m_findObstacle() : term_obstacle::None;
+    if (m_obstacle != term_obstacle::None)
+        m_obstructedUntil = now;
+    const bool isSilent = now - m_quietSince >= vacancyTime() + standbyTime() && (isVacant() || m_isProbed);
+    if (!isSilent)
+        return false;
+    if (m_obstacle != term_obstacle::None) {
+        logObstacle();
+        return false;
+    }
+    // Many candidates lose their obstacle at the same time, for example when the first rules are published.
+    return now - m_obstructedUntil >= standbyTime();
 }
 
 bool leader_election::isNamedSuccessor() const { return isVacant() && m_feed.successor() == m_options.member; }
@@ -135,8 +155,7 @@
         m_isProbed = false;
     }
     const auto quiet = now - m_quietSince;
-    const bool isDue = quiet >= claimAfter() && (isVacant() || m_isProbed);
-    if (isDue && canStartTerm())
+    if (isClaimDue(now))
         claim();
     else if (!m_isProbed && !m_isProbing && quiet >= probeDelay)
         probe();
--- a/Source/Core/ControlPlane/LeaderElection.h
+++ b/Source/Core/ControlPlane/LeaderElection.h
@@ -62,12 +62,14 @@
 
     void watch();
     bool isVacant() const;
-    /// Time without records of the leader after which this candidate claims.
-    Common::millis claimAfter() const;
+    bool isClaimDue(Common::instant now);
+    /// Time without records of the leader after which leadership may be claimed.
+    Common::millis vacancyTime() const;
+    /// Time that this candidate leaves to others after that, and after it could first start a term.
+    Common::millis standbyTime() const;
     bool isNamedSuccessor() const;
     const char* claimReason() const;
-    /// Whether a term could be started now; logs an obstacle when it changes.
-    bool canStartTerm();
+    void logObstacle();
     void probe();
     void claim();
     void sendClaim();
@@ -82,7 +84,9 @@
     const progress_feed& m_feed;
     std::function<void(won_election)> m_onElected;
     std::function<term_obstacle()> m_findObstacle;
+    term_obstacle m_obstacle { term_obstacle::None };
     term_obstacle m_loggedObstacle { term_obstacle::None };
+    Common::instant m_obstructedUntil;
     election_state m_state { election_state::Standby };
     const char* m_claimReason { "" };
     bool m_hasWithdrawn { false };
