--- a/Source/UnitTests/Core/ControlPlane/JobFeedsTest.cpp
+++ b/Source/UnitTests/Core/ControlPlane/JobFeedsTest.cpp
@@ -38,3 +38,57 @@
     feed.apply(ControlPlane::releaseRecord(2));
     CHECK(feed.released() == 3);
 }
+
+TEST_CASE("A claim without a capacity, of an older version, has the default capacity", "[station]")
+{
+    Jobs::job_registry jobRegistry;
+    ControlPlane::progress_feed feed(jobRegistry);
+    feed.apply(ControlPlane::claimRecord(
+        { .member = "a", .number = 1, .capacity = { .processor = { 120 }, .link = { 10 } } }));
+    CHECK(feed.claim().capacity == ControlPlane::instance_capacity { .processor = { 120 }, .link = { 10 } });
+    feed.apply({ .key = "@holder", .value = R"({"member":"b","number":2})" });
+    CHECK(feed.claim().member == "b");
+    CHECK(feed.claim().capacity == ControlPlane::instance_capacity());
+}
+
+TEST_CASE("The newest release names the successor", "[station]")
+{
+    Jobs::job_registry jobRegistry;
+    ControlPlane::progress_feed feed(jobRegistry);
+    feed.apply(ControlPlane::releaseRecord(3, "a"));
+    CHECK(feed.successor() == "a");
+
+    SECTION("An older release doesn't change it")
+    {
+        feed.apply(ControlPlane::releaseRecord(2, "b"));
+        CHECK(feed.released() == 3);
+        CHECK(feed.successor() == "a");
+    }
+    SECTION("A later one without a successor clears it")
+    {
+        feed.apply(ControlPlane::releaseRecord(4));
+        CHECK(feed.released() == 4);
+        CHECK(feed.successor().empty());
+    }
+    SECTION("So does one of an older version")
+    {
+        feed.apply({ .key = "@released", .value = R"({"number":4})" });
+        CHECK(feed.successor().empty());
+    }
+}
+
+TEST_CASE("Requests for a handover are read, and don't count as records of the leader", "[station]")
+{
+    Jobs::job_registry jobRegistry;
+    ControlPlane::progress_feed feed(jobRegistry);
+    feed.apply(ControlPlane::heartbeatRecord(1));
+    REQUIRE(feed.leaderRecords() == 1);
+    auto record = ControlPlane::handoverRecord({ .member = "a", .claim = 1, .capacity = {}, .offset = {} });
+    record.offset = { 7 };
+    feed.apply(record);
+    CHECK(feed.leaderRecords() == 1);
+    REQUIRE(feed.handoverRequest());
+    CHECK(feed.handoverRequest()->member == "a");
+    CHECK(feed.handoverRequest()->claim == 1);
+    CHECK(feed.handoverRequest()->offset == Common::log_offset { 7 });
+}
