Bound the share of the event loop that planning passes take

Cause: a pass was planned 4 ms after any event, however long the last one took, so that a slow leader did little but plan. Change: after a pass the loop has twice the time of the pass for other work, 100 ms at most; the time is read from the injected clock. A pass that took less than 2 ms is followed by the next one as before. The clock of the test's timers no longer goes back when an action has moved it ahead.

--- a/Source/Core/ControlPlane/LeaderTerm.cpp
+++ b/Source/Core/ControlPlane/LeaderTerm.cpp
@@ -3,12 +3,17 @@
 #include "Common/Logging.h"
 #include "ControlPlane/JobFeeds.h"
 
+#include <algorithm>
+
 namespace ControlPlane {
 
 namespace {
 
     /// Events within this time are handled by one planning pass.
     constexpr Common::millis planDelay { 4 };
+    /// After a planning pass, other work has the event loop for this multiple of the time that the pass took.
+    constexpr int restPerPass = 2;
+    constexpr Common::millis longestRest { 100 };
     /// Longest time between two planning passes.
     constexpr Common::millis tickInterval { 100 };
     constexpr Common::millis connectionCheckInterval { 5000 };
@@ -273,12 +278,22 @@
     if (m_isPlanScheduled || m_isOver || !m_isStarted)
         return;
     m_isPlanScheduled = true;
-    m_parts.timers.after(planDelay, [self = shared_from_this()] {
+    m_parts.timers.after(std::max(planDelay, restLeft()), [self = shared_from_this()] {
         self->m_isPlanScheduled = false;
-        self->planAndSend();
+        self->planAfterRest();
     });
 }
 
+Common::millis leader_term::restLeft() const { return Common::elapsed(m_parts.timers.now(), m_restsUntil); }
+
+void leader_term::planAfterRest()
+{
+    if (restLeft().count() > 0)
+        schedulePlan();
+    else
+        planAndSend();
+}
+
 void leader_term::planAndSend()
 {
     if (m_isOver || !m_isStarted)
@@ -288,6 +303,7 @@
         loseLeadership("claimed_by_another");
         return;
     }
+    const auto began = m_parts.timers.now();
     auto leadership = m_parts.election.status();
     leadership.isStoreUnresponsive = leadership.isStoreUnresponsive
         || (m_pendingCommits > 0 && m_parts.timers.now() - m_commitBeganAt > slowCommitTime);
@@ -298,6 +314,8 @@
         m_capacity->plan(leadership.isConfirmed(m_parts.timers.now()));
     sendOrders(m_dispatcher.plan(m_parts.timers.now(), Common::wallNow(), leadership));
     flush();
+    const auto ended = m_parts.timers.now();
+    m_restsUntil = ended + std::min<Common::instant::duration>(restPerPass * (ended - began), longestRest);
     if (m_dispatcher.isFenced())
         loseLeadership("fenced_by_worker");
 }
@@ -385,7 +403,7 @@
                 self->m_parts.jobRegistry.advance(progress);
             self->m_dispatcher.onCommitted(batch, self->m_parts.timers.now());
             // Send the starts that waited for their placements to be stored.
-            self->planAndSend();
+            self->planAfterRest();
         });
 }
 
--- a/Source/Core/ControlPlane/LeaderTerm.h
+++ b/Source/Core/ControlPlane/LeaderTerm.h
@@ -70,6 +70,9 @@
     /// Closes connections to workers that no longer exist.
     void closeStaleConnections();
     void schedulePlan();
+    /// Time until the next planning pass may begin.
+    Common::millis restLeft() const;
+    void planAfterRest();
     void planAndSend();
     void sendOrders(const Dispatch::dispatch_orders&);
     void sendStart(const Dispatch::start_order&);
@@ -91,6 +94,8 @@
     int m_pendingCommits { 0 };
     Common::instant m_commitBeganAt;
     Common::instant m_connectionsCheckedAt;
+    /// No planning pass begins before this.
+    Common::instant m_restsUntil;
     bool m_isPlanScheduled { false };
     bool m_isStarted { false };
     bool m_isOver { false };
--- a/Source/UnitTests/Core/ControlPlane/LeaderTermTest.cpp
+++ b/Source/UnitTests/Core/ControlPlane/LeaderTermTest.cpp
@@ -24,6 +24,7 @@
     void start(const Dispatch::start_order&, Dispatch::fencing_token, Common::millis, reply_handler handler) override
     {
         ++starts;
+        spend();
         timers.after(Common::millis(2), [handler] { handler(done()); });
     }
     void stop(const Dispatch::stop_order&, Dispatch::fencing_token, Common::millis, reply_handler) override { ++stops; }
@@ -32,14 +33,24 @@
         std::function<void(Dispatch::poll_order_reply)> handler) override
     {
         ++pollCalls;
+        spend();
         timers.after(Common::millis(2), [handler] { handler({ .base = done() }); });
     }
     void keepOnly(const std::vector<Common::worker_id>&) override { }
 
+    /// Takes time of the event loop.
+    void spend()
+    {
+        timers.clock += callTime;
+        spent += callTime;
+    }
+
     manual_timers& timers;
     int starts { 0 };
     int stops { 0 };
     int pollCalls { 0 };
+    Common::millis callTime { 0 };
+    Common::millis spent { 0 };
 };
 
 /// One instance in the spare pool; moves stay open until a test answers them.
@@ -179,3 +190,19 @@
     s.manager.open[0](Capacity::instance_outcome::Done);
     CHECK_FALSE(s.term->hasOpenOrders());
 }
+
+TEST_CASE("Planning passes that take long leave most of the event loop to other work", "[station]")
+{
+    term_fixture s;
+    s.startDispatching();
+    s.accept("j");
+    s.timers.advance(Common::millis(200));
+    s.gateway.callTime = Common::millis(10);
+    s.gateway.spent = Common::millis(0);
+    const auto began = s.timers.now();
+    s.timers.advance(Common::millis(3000));
+    const auto elapsed = Common::elapsed(began, s.timers.now());
+    // The worker reports each run as missing, so there is always something to order.
+    CHECK(s.gateway.spent > Common::millis(300));
+    CHECK(s.gateway.spent * 5 < elapsed * 2);
+}
--- a/Source/UnitTests/Core/Records/FakeStore.h
+++ b/Source/UnitTests/Core/Records/FakeStore.h
@@ -25,7 +25,7 @@
             due.erase(due.begin());
             action();
         }
-        clock = until;
+        clock = std::max(clock, until);
     }
 
     Common::instant clock { std::chrono::seconds(1000) };
