Look up each instance's worker once when pools are sized

Change: one look-up for each instance; what is sorted carries the key. Same instances are chosen in the same order.

--- a/Source/Core/Capacity/PoolSizer.cpp
+++ b/Source/Core/Capacity/PoolSizer.cpp
@@ -16,10 +16,9 @@
         return found == dispatcher.workers().end() ? nullptr : &found->second;
     }
 
-    std::int64_t usedProcessor(const instance_record& record, const Dispatch::dispatcher& dispatcher)
+    bool isIdleWorker(const instance_record& record, const Dispatch::worker_state* worker)
     {
-        const auto* worker = workerOn(record, dispatcher);
-        return worker ? worker->used().processor.value : 0;
+        return record.entry.worker.empty() || (worker && worker->hasReported && worker->runs.empty());
     }
 
 }
@@ -46,24 +45,24 @@
     const auto& id = record.entry.id;
     const bool isUsable = record.entry.state != instance_state::Maintenance && !record.maintenance
         && !dispatcher.isEvacuated(record.entry.dataCentre);
-    const bool isBeingDrained = m_draining.contains(id);
-    if (isUsable && (record.move || !dispatcher.isCordoned(record.entry.worker)))
+    const bool isBeingDrained = !m_draining.empty() && m_draining.contains(id);
+    const auto* worker = workerOn(record, dispatcher);
+    const bool isCordoned = worker && worker->isCordoned;
+    if (isUsable && (record.move || !isCordoned))
         ++pool.present;
     const bool isOrdered = record.isOrderInFlight || record.isOutcomeUnknown || record.move || record.maintenance;
     if (isOrdered || record.entry.state != instance_state::Up || now < record.notBefore)
         return;
-    const auto* worker = workerOn(record, dispatcher);
-    if (isIdle(record, dispatcher))
+    if (isIdleWorker(record, worker))
         pool.idle.push_back(&record);
-    else if (worker && !isBeingDrained && !worker->isCordoned && isUsable && !worker->hasLongRunningRuns())
-        pool.busy.push_back(&record);
+    else if (worker && !isBeingDrained && !isCordoned && isUsable && !worker->hasLongRunningRuns())
+        pool.busy.push_back({ .usedProcessor = worker->used().processor, .record = &record });
 }
 
 pool_sizer::pool_states pool_sizer::survey(
     const Rules::fleet_rules& rules, instance_registry& instances, Dispatch::dispatcher& dispatcher, const plan_time& when)
 {
     pool_states pools;
-    std::map<Common::pool_id, Jobs::resources> sizes;
     Jobs::resources fallbackSize;
     for (const auto& rule : rules.pools)
         pools[rule.id].isSpare = rule.isSpare;
@@ -72,7 +71,7 @@
         const auto pool = pools.find(target);
         if (pool == pools.end())
             continue;
-        sizes[target] = record.entry.capacity;
+        pool->second.instanceSize = record.entry.capacity;
         fallbackSize = record.entry.capacity;
         count(record, pool->second, dispatcher, when.now);
     }
@@ -80,7 +79,7 @@
     for (auto& [id, pool] : pools) {
         if (pool.isSpare)
             continue;
-        const auto size = sizes.contains(id) ? sizes[id] : fallbackSize;
+        const auto size = pool.instanceSize.value_or(fallbackSize);
         pool.demand = dispatcher.demandOf(id, when.wall);
         auto need = pool.demand.running + pool.demand.waiting;
         const auto part = [this](auto amount) {
@@ -91,9 +90,8 @@
         need.memory += part(pool.demand.blocked.memory);
         pool.onTime = instancesFor(need, size) + m_options.reserve;
         instancesForLate[id] = instancesFor(pool.demand.late, size);
-        std::sort(pool.busy.begin(), pool.busy.end(), [&dispatcher](const auto* left, const auto* right) {
-            return usedProcessor(*left, dispatcher) < usedProcessor(*right, dispatcher);
-        });
+        std::sort(pool.busy.begin(), pool.busy.end(),
+            [](const auto& left, const auto& right) { return left.usedProcessor < right.usedProcessor; });
     }
     divideInstances(pools, instancesForLate);
     m_lastSurvey.clear();
@@ -237,7 +235,7 @@
     for (auto& [id, pool] : pools) {
         if (pool.isSpare)
             continue;
-        for (auto* record : pool.busy) {
+        for (const auto& [usedProcessor, record] : pool.busy) {
             if (missing <= 0 || pool.present <= pool.wanted)
                 break;
             dispatcher.setCordoned(record->entry.worker, true);
--- a/Source/Core/Capacity/PoolSizer.h
+++ b/Source/Core/Capacity/PoolSizer.h
@@ -43,8 +43,14 @@
     void onMove(instance_registry&, const move_order&, instance_outcome, Common::instant now);
 
 private:
+    struct busy_instance {
+        Common::millicores usedProcessor;
+        instance_record* record { nullptr };
+    };
     struct pool_state {
         bool isSpare { false };
+        /// Capacity of one of its instances; empty when it has none.
+        std::optional<Jobs::resources> instanceSize;
         /// Instances needed by jobs that can meet their deadline, and target with late jobs included.
         int onTime { 0 };
         int wanted { 0 };
@@ -53,7 +59,7 @@
         Dispatch::pool_demand demand;
         std::vector<instance_record*> idle;
         /// Busy instances that could be drained, the least busy first.
-        std::vector<instance_record*> busy;
+        std::vector<busy_instance> busy;
     };
     using pool_states = std::map<Common::pool_id, pool_state>;
 
