Compare the dispatcher's demand too, with cancelled jobs and changed priorities

The comparison with a straightforward planner now also cancels jobs, changes the priorities of queues, sets the wall clock back and compares each pool's demand.

--- a/Source/UnitTests/Core/Dispatch/PlanReferenceTest.cpp
+++ b/Source/UnitTests/Core/Dispatch/PlanReferenceTest.cpp
@@ -50,12 +50,47 @@
         std::erase_if(m_jobs, [&id](const auto& job) { return job->record().id == id; });
     }
 
+    void setRules(const Rules::fleet_rules& rules) { m_rules = rules; }
+
+    std::vector<Common::job_id> jobs() const
+    {
+        std::vector<Common::job_id> ids;
+        for (const auto& job : m_jobs)
+            ids.push_back(job->record().id);
+        return ids;
+    }
+
+    Dispatch::pool_demand demandOf(const Common::pool_id& pool, Common::wall_millis wall)
+    {
+        Dispatch::pool_demand demand;
+        for (const auto& job : m_jobs) {
+            if (m_rules.findQueue(job->record().queue)->pool != pool)
+                continue;
+            const bool isLate = isTooLate(*job, wall);
+            const auto& occurrence = job->occurrences().at(0);
+            for (std::size_t step = 0; step < occurrence.steps.size(); ++step) {
+                const auto& spec = job->record().spec.steps[step];
+                const auto& state = occurrence.steps[step];
+                if (spec.isBestEffort)
+                    continue;
+                const auto open = static_cast<std::int64_t>(state.tasks.size()) - state.done - state.placed;
+                const bool isReady = job->isReady(occurrence, static_cast<int>(step));
+                (isLate ? demand.late : isReady ? demand.waiting
+                                                : demand.blocked)
+                    += Jobs::times(spec.request, open);
+                (isLate ? demand.late : demand.running) += Jobs::times(spec.request, state.placed);
+            }
+        }
+        return demand;
+    }
+
     std::vector<expected_placement> plan(
         std::map<Common::worker_id, worker_state> workers, Common::instant now, Common::wall_millis wall)
     {
         m_placed.clear();
         m_usage = {};
-        for (const auto& [id, worker] : workers) {
+        for (auto& [id, worker] : workers) {
+            dropUnsent(worker);
             for (const auto& [name, run] : worker.runs)
                 m_usage.add(run.team, run.request);
         }
@@ -74,6 +109,16 @@
         return wall.value + static_cast<std::int64_t>(left * 0.2) > job.dueAt.value;
     }
 
+    /// Runs of cancelled jobs whose start wasn't sent are gone when the pass begins.
+    static void dropUnsent(worker_state& worker)
+    {
+        const auto runs = worker.runs;
+        for (const auto& [name, run] : runs) {
+            if (run.phase == Dispatch::run_phase::Stopping && !run.isSent)
+                worker.removeRun(name);
+        }
+    }
+
     void planPool(const Common::pool_id& pool, std::map<Common::worker_id, worker_state>& all, Common::instant now,
         Common::wall_millis wall)
     {
@@ -252,6 +297,10 @@
             addJob();
         if (pick(8) == 0)
             m_fixture.dispatcher.setCordoned({ "w" + std::to_string(100 + pick(24)) }, pick(2) == 0);
+        if (pick(40) == 0)
+            changePriorities();
+        if (const auto open = m_reference.jobs(); !open.empty() && pick(10) == 0)
+            cancel(open[static_cast<std::size_t>(pick(static_cast<int>(open.size())))]);
         const auto before = m_fixture.dispatcher.workers();
         const auto at = m_fixture.now + dispatcher_fixture::stepTime;
         const auto orders = m_fixture.turn();
@@ -273,6 +322,15 @@
         m_fixture.dispatcher.onCommitted(m_fixture.dispatcher.takeCommit(), m_fixture.now);
     }
 
+    /// The wall clock may be set back between two calls.
+    void compareDemand()
+    {
+        for (const auto& pool : m_fixture.rules.pools) {
+            const Common::wall_millis wall { m_fixture.wall().value + pick(5) * 1000 - 2000 };
+            REQUIRE(m_fixture.dispatcher.demandOf(pool.id, wall) == m_reference.demandOf(pool.id, wall));
+        }
+    }
+
     int compared() const { return m_compared; }
 
 private:
@@ -289,6 +347,20 @@
         return m_fixture.rules;
     }
 
+    void changePriorities()
+    {
+        for (auto& queue : m_fixture.rules.queues)
+            queue.priority = pick(2);
+        m_fixture.dispatcher.setRules(m_fixture.rules);
+        m_reference.setRules(m_fixture.rules);
+    }
+
+    void cancel(const Common::job_id& id)
+    {
+        m_fixture.dispatcher.cancelJob(id);
+        m_reference.remove(id);
+    }
+
     Jobs::step_spec randomStep(int index)
     {
         auto step = m_fixture.step(1 + pick(5), 250 * (1 + pick(20)));
@@ -409,7 +481,7 @@
 
 }
 
-TEST_CASE("Placements are the same as those of a planner that compares each task with each worker", "[dispatch]")
+TEST_CASE("Placements and demand are the same as those of a planner that walks all jobs and workers", "[dispatch]")
 {
     int compared = 0;
     for (std::uint32_t seed = 1; seed <= 20; ++seed) {
@@ -418,6 +490,7 @@
         for (int step = 0; step < 150; ++step) {
             CAPTURE(step);
             comparison.step();
+            comparison.compareDemand();
         }
         compared += comparison.compared();
     }
