--- a/Source/Core/ControlPlane/LeaderTerm.h
+++ b/Source/Core/ControlPlane/LeaderTerm.h
@@ -80,6 +80,9 @@
     /// Closes connections to workers that no longer exist.
     void closeStaleConnections();
     void schedulePlan();
+    /// Time until the next planning pass may begin.
+    Common::millis restLeft() const;
+    void planAfterRest();
     void planAndSend();
     /// How many starts may be sent now.
     int startRoom() const;
@@ -108,6 +111,8 @@
     int m_pendingCommits { 0 };
     Common::instant m_commitBeganAt;
     Common::instant m_connectionsCheckedAt;
+    /// No planning pass begins before this.
+    Common::instant m_restsUntil;
     bool m_isPlanScheduled { false };
     bool m_isStarted { false };
     bool m_isOver { false };
