--- a/Source/Core/Dispatch/DispatcherReplies.cpp
+++ b/Source/Core/Dispatch/DispatcherReplies.cpp
@@ -217,6 +217,7 @@
         if (end.number <= worker.seenEnd)
             continue;
         worker.seenEnd = end.number;
+        worker.endsSeenAt = now;
         handleEnd(worker, end, now);
     }
     if (worker.seenEnd > worker.storedEnd)
