--- a/Source/Core/ControlPlane/LeaderTerm.cpp
+++ b/Source/Core/ControlPlane/LeaderTerm.cpp
@@ -407,6 +407,9 @@
             self->noteAnswer(order_kind::Poll, sentAt, order.wait, reply.base);
             self->m_dispatcher.onPollReply(order, reply, sentAt, self->m_parts.timers.now());
             self->schedulePlan();
+            // The next poll of this worker may be due before the next tick.
+            if (!reply.ended.empty())
+                self->m_parts.timers.after(Dispatch::pollSpacing, [self] { self->schedulePlan(); });
         });
 }
 
