Read large responses in few turns of the event loop

The client's buffers had no reserve, and the HTTP library then receives 512 bytes at once. Each needs a turn of the loop, so in a busy process a response of some 30 KB took longer than the timeout, and what had come meanwhile made the next one larger.

Fewer turns are also less work.

--- a/Source/Core/EventLoop/HttpClient.cpp
+++ b/Source/Core/EventLoop/HttpClient.cpp
@@ -52,6 +52,8 @@
             : stream(owner.context)
             , timer(owner.context)
         {
+            // Beast reads as much as the buffer has room for, and only 512 bytes without a reserve.
+            buffer.reserve(owner.options.readBufferBytes);
         }
 
         beast::tcp_stream stream;
--- a/Source/Core/EventLoop/HttpClient.h
+++ b/Source/Core/EventLoop/HttpClient.h
@@ -34,6 +34,8 @@
     Common::millis connectTimeout { 500 };
     /// Idle connections are closed after this time, so that no call uses one that a firewall has dropped.
     Common::millis idleTimeout { 10000 };
+    /// Bytes that a connection reads in one turn of the event loop.
+    std::size_t readBufferBytes { 4096 };
 };
 
 /// HTTP/1.1 client of one server with persistent connections. A call that times out closes its connection.
--- a/Source/UnitTests/Core/EventLoop/ListenerTest.cpp
+++ b/Source/UnitTests/Core/EventLoop/ListenerTest.cpp
@@ -95,3 +95,31 @@
     REQUIRE(tooLarge.response);
     CHECK(tooLarge.response->status == 413);
 }
+
+TEST_CASE("A large response is received in few turns of the event loop", "[eventloop]")
+{
+    constexpr std::size_t bodyBytes = 64 * 1024;
+    constexpr int acceptedTurns = 40;
+    EventLoop::event_loop loop;
+    EventLoop::http_listener listener(loop, { "127.0.0.1", 0 }, {},
+        [](const EventLoop::http_request&, const EventLoop::responder& respond) {
+            respond({ .status = 200, .body = std::string(bodyBytes, 'x') });
+        });
+    REQUIRE(listener.start());
+    EventLoop::http_client client(
+        loop, { .server = { "127.0.0.1", listener.port() }, .readBufferBytes = bodyBytes });
+    int turns = 0;
+    std::function<void()> countTurn = [&] {
+        ++turns;
+        loop.after(Common::millis(0), countTurn);
+    };
+    std::size_t received = 0;
+    client.call({ .method = "GET", .target = "/" }, std::chrono::seconds(20), [&](const EventLoop::call_result& result) {
+        received = result.response ? result.response->body.size() : 0;
+        loop.stop();
+    });
+    countTurn();
+    loop.run();
+    CHECK(received == bodyBytes);
+    CHECK(turns < acceptedTurns);
+}
