--- a/Source/Core/EventLoop/HttpClient.cpp
+++ b/Source/Core/EventLoop/HttpClient.cpp
@@ -29,7 +29,6 @@
 
     /// A connection is closed when sent data stays unacknowledged for this long.
     constexpr int tcpUserTimeoutMs = 3000;
-    constexpr std::size_t initialBufferBytes = 2048;
     constexpr std::size_t maxReadBytes = 65536;
 
     struct pending_call {
@@ -74,7 +73,8 @@
         explicit http_connection(connection_pool& owner)
             : socket(owner.context)
         {
-            buffer.reserve(initialBufferBytes);
+            // Beast reads as much as the buffer has room for, and only 512 bytes without a reserve.
+            buffer.reserve(owner.options.readBufferBytes);
         }
 
         tcp_socket socket;
