Let hardly two steps of the leader's bench request the same, and skip jobs without room sooner

Change: requests of the bench vary from job to job; a job whose ready steps are all known to find no room is skipped without copying them.

--- a/Source/Bench/LeaderLoad.cpp
+++ b/Source/Bench/LeaderLoad.cpp
@@ -34,10 +34,12 @@
 
     Jobs::step_spec stepOf(int job, int step)
     {
-        // Sizes and run times vary from job to job, the same in each run.
+        // Sizes and run times vary from job to job, the same in each run. Hardly two steps request the same.
         const int variant = (job * 7 + step * 3) % 5;
+        const int size = (job * 7919 + step * 104729) % 2000;
+        const int memory = (job * 6151 + step * 49157) % 1000;
         return { .count = step == 0 ? 8 : 6,
-            .request = { .processor = { 1000 + 500 * variant }, .memory = { 1000 + 300 * (variant % 3) } },
+            .request = { .processor = { 1000 + size }, .memory = { 1000 + memory } },
             .estimate = Common::millis(600 + 200 * variant),
             .dependsOn = step == 0 ? std::vector<int> {} : std::vector<int> { 0 },
             .isRackSensitive = job % 9 == 0,
--- a/Source/Core/Dispatch/DispatcherStarts.cpp
+++ b/Source/Core/Dispatch/DispatcherStarts.cpp
@@ -77,11 +77,17 @@
 
 void dispatcher::planJob(open_job& job, placement_index& workers, Common::instant now)
 {
+    const auto isRuledOut = [&job, &workers](const auto& ready) {
+        return workers.isRuledOut(job.record().spec.steps[static_cast<std::size_t>(ready.step)]);
+    };
+    const auto& ready = job.summary().readySteps;
+    if (std::all_of(ready.begin(), ready.end(), isRuledOut))
+        return;
     // A copy, since the summary changes with each placement.
-    const auto readySteps = job.summary().readySteps;
+    const auto readySteps = ready;
     for (const auto& [occurrence, step] : readySteps) {
         const auto& spec = job.record().spec.steps[static_cast<std::size_t>(step)];
-        if (workers.isRuledOut(requestOf(spec)))
+        if (workers.isRuledOut(spec))
             continue;
         if (spec.isGang)
             planGang(job, occurrence, step, workers, now);
--- a/Source/Core/Dispatch/Placement.cpp
+++ b/Source/Core/Dispatch/Placement.cpp
@@ -16,6 +16,15 @@
         return label.empty() || std::find(labels.begin(), labels.end(), label) != labels.end();
     }
 
+    /// Best-effort tasks reserve no processor.
+    Jobs::resources reservedBy(const Jobs::step_spec& step)
+    {
+        auto amount = step.request;
+        if (step.isBestEffort)
+            amount.processor = {};
+        return amount;
+    }
+
     /// Whether the workers with the least free processor aren't always preferred.
     bool hasPreference(const placement_request& request)
     {
@@ -28,10 +37,7 @@
 
 step_request requestOf(const Jobs::step_spec& step)
 {
-    step_request request { .amount = step.request, .requiredLabel = step.requiredLabel };
-    if (step.isBestEffort)
-        request.amount.processor = {};
-    return request;
+    return { .amount = reservedBy(step), .requiredLabel = step.requiredLabel };
 }
 
 /// Lower is better. Long-running tasks are packed on few workers, so that others can leave the pool; best-effort tasks
@@ -57,14 +63,19 @@
     std::sort(m_order.begin(), m_order.end());
 }
 
-bool placement_index::isRuledOut(const step_request& request) const
+bool placement_index::isRuledOut(const Jobs::resources& amount, const std::string& requiredLabel) const
 {
-    return std::any_of(m_ruledOut.begin(), m_ruledOut.end(), [&request](const auto& known) {
-        return (known.requiredLabel.empty() || known.requiredLabel == request.requiredLabel)
-            && Jobs::fits(known.amount, request.amount);
+    return std::any_of(m_ruledOut.begin(), m_ruledOut.end(), [&](const auto& known) {
+        return Jobs::fits(known.amount, amount)
+            && (known.requiredLabel.empty() || known.requiredLabel == requiredLabel);
     });
 }
 
+bool placement_index::isRuledOut(const Jobs::step_spec& step) const
+{
+    return isRuledOut(reservedBy(step), step.requiredLabel);
+}
+
 void placement_index::ruleOut(const step_request& request)
 {
     std::erase_if(m_ruledOut, [&request](const auto& known) {
--- a/Source/Core/Dispatch/Placement.h
+++ b/Source/Core/Dispatch/Placement.h
@@ -41,7 +41,8 @@
     /// To be called after the chosen worker's runs have changed.
     void update(const worker_state&);
     /// Whether an earlier request showed that no worker has room for a task of the step.
-    bool isRuledOut(const step_request&) const;
+    bool isRuledOut(const step_request& request) const { return isRuledOut(request.amount, request.requiredLabel); }
+    bool isRuledOut(const Jobs::step_spec&) const;
     /// Whether a worker has room for a task with the request.
     bool hasRoomFor(const step_request&);
     /// Increases when further requests are ruled out.
@@ -79,6 +80,7 @@
     static bool mayRun(const slot&, const step_request&);
     /// Position of the first worker with enough free processor.
     std::vector<order_key>::const_iterator firstWith(Common::millicores) const;
+    bool isRuledOut(const Jobs::resources&, const std::string& requiredLabel) const;
     void ruleOut(const step_request&);
 
     std::vector<slot> m_slots;
