Keep requests for a handover readable for an overloaded leader

The small leader had stopped reading the progress topic, in which the requests were, behind its own records.

Requests have a topic of their own, read by all.

The leader agrees with unanswered orders too, since an overloaded one always has some; as in a planned stop, the release then waits for them, and without one leadership passes as from a silent leader.

--- a/Source/Core/ControlPlane/EntryNode.cpp
+++ b/Source/Core/ControlPlane/EntryNode.cpp
@@ -54,7 +54,8 @@
 std::shared_ptr<Records::partition_reader> entry_node::startReader(
     const Records::topic_partition& partition, Common::millis readInterval, Records::record_sink& sink)
 {
-    const bool isJobTopic = partition.topic == m_parts.topics.intake.topic || partition == m_parts.topics.progress;
+    const bool isJobTopic = partition.topic == m_parts.topics.intake.topic || partition == m_parts.topics.progress
+        || partition == m_parts.topics.handovers;
     auto reader = std::make_shared<Records::partition_reader>(m_parts.store, *m_timers,
         Records::partition_reader_options {
             .partition = partition, .interval = readInterval, .wait = isJobTopic ? jobReadWait : readWait },
@@ -73,6 +74,7 @@
             { m_parts.topics.intake.topic, partitionIndex }, leadership_manager::standbyIntakeInterval, m_intakeFeed));
     m_intake = std::make_unique<Records::partition_reader_group>(std::move(intakeReaders));
     m_progress = startReader(m_parts.topics.progress, progressInterval, m_progressFeed);
+    m_handovers = startReader(m_parts.topics.handovers, progressInterval, m_handoverFeed);
     const auto ownPartition
         = static_cast<int>(Common::rendezvousRank(m_parts.topics.intake.topic, m_member) % intakePartitions);
     m_appender = std::make_shared<Records::failover_appender>(m_parts.store, *m_timers,
@@ -96,6 +98,7 @@
                                                             .operatorFormat = m_parts.operatorFormat,
                                                             .jobRegistry = m_jobRegistry,
                                                             .progressFeed = m_progressFeed,
+                                                            .handoverFeed = m_handoverFeed,
                                                             .progress = *m_progress,
                                                             .workerList = *m_workerList,
                                                             .intake = *m_intake,
@@ -103,6 +106,7 @@
         leadership_options { .member = m_member,
             .capacity = m_settings.capacity,
             .progressTopic = m_parts.topics.progress,
+            .handoverTopic = m_parts.topics.handovers,
             .statusTopic = m_parts.topics.status,
             .stopTime = m_settings.stopTime });
     m_callerListener = std::make_unique<EventLoop::http_listener>(m_parts.loop, m_settings.callers,
--- a/Source/Core/ControlPlane/EntryNode.h
+++ b/Source/Core/ControlPlane/EntryNode.h
@@ -16,6 +16,7 @@
     Records::topic_partition status;
     Records::topic_partition intake;
     Records::topic_partition progress;
+    Records::topic_partition handovers;
 };
 
 /// Platform services that the node uses.
@@ -70,10 +71,12 @@
     counters m_eventCounters;
     intake_feed m_intakeFeed;
     progress_feed m_progressFeed;
+    handover_feed m_handoverFeed;
     std::shared_ptr<Records::partition_reader> m_operators;
     std::shared_ptr<Records::partition_reader> m_workerList;
     std::unique_ptr<Records::partition_reader_group> m_intake;
     std::shared_ptr<Records::partition_reader> m_progress;
+    std::shared_ptr<Records::partition_reader> m_handovers;
     std::shared_ptr<Records::failover_appender> m_appender;
     std::unique_ptr<leadership_manager> m_leadership;
     std::unique_ptr<job_api> m_jobApi;
--- a/Source/Core/ControlPlane/JobFeeds.cpp
+++ b/Source/Core/ControlPlane/JobFeeds.cpp
@@ -153,22 +153,11 @@
         }
         return true;
     }
-    if (record.key == handoverKey) {
-        const auto request = Common::parseJson(record.value);
-        if (request && request->is_object())
-            m_handoverRequest = { .member = request->value("member", std::string()),
-                .claim = request->value("claim", std::int64_t { 0 }),
-                .capacity = readCapacity(*request),
-                .offset = record.offset };
-        return true;
-    }
     return false;
 }
 
 void progress_feed::apply(const Records::keyed_record& record)
 {
-    if (record.key != handoverKey)
-        ++m_leaderRecords;
     if (applyLeadership(record))
         return;
     if (record.value.empty() || record.key == heartbeatKey)
@@ -187,4 +176,15 @@
         reportUnreadable("progress", record);
 }
 
+void handover_feed::apply(const Records::keyed_record& record)
+{
+    const auto request = Common::parseJson(record.value);
+    if (record.key != handoverKey || !request || !request->is_object())
+        return;
+    m_request = { .member = request->value("member", std::string()),
+        .claim = request->value("claim", std::int64_t { 0 }),
+        .capacity = readCapacity(*request),
+        .offset = record.offset };
+}
+
 }
--- a/Source/Core/ControlPlane/JobFeeds.h
+++ b/Source/Core/ControlPlane/JobFeeds.h
@@ -75,10 +75,6 @@
     std::int64_t released() const { return m_released; }
     /// The member that the newest release names; empty for none.
     const std::string& successor() const { return m_successor; }
-    /// The newest request for a handover, whatever claim it is about.
-    const std::optional<handover_request>& handoverRequest() const { return m_handoverRequest; }
-    /// Number of records that leaders have stored, as far as read. Requests of candidates don't count.
-    std::uint64_t leaderRecords() const { return m_leaderRecords; }
     const std::map<std::int64_t, Capacity::wave_status>& waves() const { return m_waves; }
 
 private:
@@ -88,9 +84,20 @@
     claim_record m_claim;
     std::int64_t m_released { 0 };
     std::string m_successor;
-    std::optional<handover_request> m_handoverRequest;
-    std::uint64_t m_leaderRecords { 0 };
     std::map<std::int64_t, Capacity::wave_status> m_waves;
 };
 
+/// Reads requests for a handover. They have a partition of their own, because an overloaded leader may be unable to read
+/// all progress.
+class handover_feed : public Records::record_sink {
+public:
+    void reset() override { }
+    void apply(const Records::keyed_record&) override;
+    /// The newest request, whatever claim it is about.
+    const std::optional<handover_request>& request() const { return m_request; }
+
+private:
+    std::optional<handover_request> m_request;
+};
+
 }
--- a/Source/Core/ControlPlane/LeaderElection.cpp
+++ b/Source/Core/ControlPlane/LeaderElection.cpp
@@ -102,9 +102,8 @@
     const Common::millis stagger { static_cast<std::int64_t>(
         Common::rendezvousRank(m_options.member, std::to_string(m_feed.claim().number)) % maxStaggerMillis) };
     auto reference = roomOf(m_feed.claim().capacity);
-    const auto& request = m_feed.handoverRequest();
-    if (request && request->claim == m_feed.claim().number)
-        reference = std::max(reference, roomOf(request->capacity));
+    if (m_request && m_request->claim == m_feed.claim().number)
+        reference = std::max(reference, roomOf(m_request->capacity));
     return stagger + claimDelay(roomOf(m_options.capacity), reference);
 }
 
@@ -148,9 +147,9 @@
     if (m_state != election_state::Standby || !m_progress.isLoaded())
         return;
     const auto now = m_timers.now();
-    const bool hasNewRecords = m_feed.leaderRecords() != m_seenRecords;
+    const bool hasNewRecords = m_progress.next() != m_lastEnd;
     if (hasNewRecords || m_quietSince == Common::instant()) {
-        m_seenRecords = m_feed.leaderRecords();
+        m_lastEnd = m_progress.next();
         m_quietSince = now;
         m_isProbed = false;
     }
@@ -181,7 +180,7 @@
     m_progress.refresh(claimTimeout, [self = shared_from_this()](bool isRead) {
         if (self->m_state != election_state::Claiming)
             return;
-        const bool isQuiet = self->m_feed.leaderRecords() == self->m_seenRecords;
+        const bool isQuiet = self->m_progress.next() == self->m_lastEnd;
         if (isRead && !self->m_hasWithdrawn && (isQuiet || self->isVacant()))
             self->sendClaim();
         else
--- a/Source/Core/ControlPlane/LeaderElection.h
+++ b/Source/Core/ControlPlane/LeaderElection.h
@@ -48,6 +48,8 @@
     bool isLeaderActive() const;
     /// It would claim leadership if that was vacant.
     bool isCandidate() const { return m_state == election_state::Standby && !m_hasWithdrawn; }
+    /// The newest request for a handover: its candidate may claim soon.
+    void noteRequest(const handover_request& request) { m_request = request; }
     /// Gives up leadership or an open claim. May claim again.
     void returnToStandby();
     /// Makes no further claims.
@@ -93,7 +95,8 @@
     bool m_isProbing { false };
     /// The store has confirmed that nothing new was stored since `m_quietSince`.
     bool m_isProbed { false };
-    std::uint64_t m_seenRecords { 0 };
+    Common::log_offset m_lastEnd;
+    std::optional<handover_request> m_request;
     Common::instant m_quietSince;
     Common::instant m_confirmedUntil;
 };
--- a/Source/Core/ControlPlane/LeadershipHandover.cpp
+++ b/Source/Core/ControlPlane/LeadershipHandover.cpp
@@ -65,11 +65,9 @@
     case handover_answer::NotConfirmed:
         return "not_confirmed";
     case handover_answer::PlacementsNotLogged:
-        return "placements_not_logged";
-    case handover_answer::OrdersOpen:
         break;
     }
-    return "orders_open";
+    return "placements_not_logged";
 }
 
 handover_answer answerHandover(leader_room candidate, const handover_leader& leader)
@@ -80,9 +78,7 @@
         return handover_answer::TooSoon;
     if (!leader.isConfirmed)
         return handover_answer::NotConfirmed;
-    if (!leader.arePlacementsLogged)
-        return handover_answer::PlacementsNotLogged;
-    return leader.hasOpenOrders ? handover_answer::OrdersOpen : handover_answer::Agreed;
+    return leader.arePlacementsLogged ? handover_answer::Agreed : handover_answer::PlacementsNotLogged;
 }
 
 }
--- a/Source/Core/ControlPlane/LeadershipHandover.h
+++ b/Source/Core/ControlPlane/LeadershipHandover.h
@@ -48,9 +48,7 @@
     TooSoon,
     /// The store doesn't confirm leadership at present.
     NotConfirmed,
-    PlacementsNotLogged,
-    /// The instance manager has unanswered orders.
-    OrdersOpen
+    PlacementsNotLogged
 };
 
 const char* toText(handover_answer);
@@ -63,7 +61,6 @@
     bool followsFailedHandover { false };
     bool isConfirmed { false };
     bool arePlacementsLogged { false };
-    bool hasOpenOrders { false };
 };
 
 handover_answer answerHandover(leader_room candidate, const handover_leader&);
--- a/Source/Core/ControlPlane/LeadershipManager.cpp
+++ b/Source/Core/ControlPlane/LeadershipManager.cpp
@@ -154,7 +154,9 @@
 void leadership_manager::considerRequestingHandover()
 {
     const auto& claim = m_parts.progressFeed.claim();
-    const auto& newest = m_parts.progressFeed.handoverRequest();
+    const auto& newest = m_parts.handoverFeed.request();
+    if (newest)
+        m_election->noteRequest(*newest);
     const bool canStartTerm
         = m_election->isCandidate() && m_parts.progress.isLoaded() && findObstacle() == term_obstacle::None;
     const handover_view view { .claim = claim.number,
@@ -168,7 +170,7 @@
     Common::writeEvent(Common::log_level::Info, Common::log_category::Membership, "handover_requested",
         { { "number", std::to_string(claim.number) }, { "leader", claim.member },
             { "leader_room", std::to_string(view.leader.value) }, { "room", std::to_string(view.own.value) } });
-    const Records::append_request request { .partition = m_options.progressTopic,
+    const Records::append_request request { .partition = m_options.handoverTopic,
         .records = { handoverRecord(
             { .member = m_options.member, .claim = claim.number, .capacity = m_options.capacity, .offset = {} }) } };
     m_parts.store.append(request, handoverRequestTimeout, [](const auto&) {});
@@ -176,7 +178,7 @@
 
 void leadership_manager::considerHandingOver()
 {
-    const auto request = m_parts.progressFeed.handoverRequest();
+    const auto request = m_parts.handoverFeed.request();
     if (!request || request->claim != m_term->number())
         return;
     const auto now = m_parts.timers.now();
@@ -214,8 +216,7 @@
         .followsFailedHandover = feed.released() + 1 == m_term->number() && !feed.successor().empty()
             && feed.successor() != m_options.member,
         .isConfirmed = m_election->status().isConfirmed(now),
-        .arePlacementsLogged = m_term->areAllPlacementsLogged(),
-        .hasOpenOrders = m_term->hasOpenOrders() };
+        .arePlacementsLogged = m_term->areAllPlacementsLogged() };
 }
 
 void leadership_manager::setRules(const Rules::fleet_rules& rules)
--- a/Source/Core/ControlPlane/LeadershipManager.h
+++ b/Source/Core/ControlPlane/LeadershipManager.h
@@ -16,6 +16,7 @@
     const operator_format& operatorFormat;
     Jobs::job_registry& jobRegistry;
     const progress_feed& progressFeed;
+    const handover_feed& handoverFeed;
     Records::partition_reader& progress;
     Records::partition_reader& workerList;
     Records::partition_reader_group& intake;
@@ -27,6 +28,7 @@
     std::string member;
     instance_capacity capacity;
     Records::topic_partition progressTopic;
+    Records::topic_partition handoverTopic;
     Records::topic_partition statusTopic;
     /// Longest time that a worker takes to stop a task.
     Common::millis stopTime { 200 };
--- a/Source/UnitTests/Core/ControlPlane/LeadershipFixture.h
+++ b/Source/UnitTests/Core/ControlPlane/LeadershipFixture.h
@@ -52,6 +52,8 @@
 
     static Records::topic_partition progress() { return { "keyed.progress", 0 }; }
 
+    static Records::topic_partition handovers() { return { "keyed.handover", 0 }; }
+
     static Rules::fleet_rules rules()
     {
         Rules::fleet_rules result;
@@ -94,6 +96,7 @@
         : fixture(owner)
     {
         progressReader = startReader(progress(), Common::millis(200), progressFeed);
+        handoverReader = startReader(handovers(), Common::millis(200), handoverFeed);
         workerList = startReader({ "keyed.workers", 0 }, Common::millis(400), nullSink);
         intake = std::make_unique<Records::partition_reader_group>(std::vector { startReader(
             { "keyed.intake", 0 }, ControlPlane::leadership_manager::standbyIntakeInterval, intakeFeed) });
@@ -104,6 +107,7 @@
                 .operatorFormat = owner.format,
                 .jobRegistry = jobRegistry,
                 .progressFeed = progressFeed,
+                .handoverFeed = handoverFeed,
                 .progress = *progressReader,
                 .workerList = *workerList,
                 .intake = *intake,
@@ -158,7 +162,9 @@
     void read(const Records::topic_partition& source, Common::log_offset from, Common::millis wait, Common::millis timeout,
         std::function<void(Records::read_result)> handler) override
     {
-        if (*isAlive)
+        if (source == unreadablePartition)
+            after(timeout, [handler] { handler({}); });
+        else if (*isAlive)
             fixture.store.read(source, from, wait, timeout, whileAlive(std::move(handler)));
     }
     void newest(const Records::topic_partition& source, const std::string& afterKey, Common::millis timeout,
@@ -169,6 +175,8 @@
     }
 
     leadership_fixture& fixture;
+    /// Reads of this one get no answer.
+    std::optional<Records::topic_partition> unreadablePartition;
     std::shared_ptr<bool> isAlive = std::make_shared<bool>(true);
     null_sink nullSink;
     Jobs::job_registry jobRegistry;
@@ -176,6 +184,8 @@
     ControlPlane::intake_feed intakeFeed { jobRegistry, *this };
     ControlPlane::progress_feed progressFeed { jobRegistry };
     std::shared_ptr<Records::partition_reader> progressReader;
+    ControlPlane::handover_feed handoverFeed;
+    std::shared_ptr<Records::partition_reader> handoverReader;
     std::shared_ptr<Records::partition_reader> workerList;
     std::unique_ptr<Records::partition_reader_group> intake;
     std::unique_ptr<ControlPlane::leadership_manager> manager;
--- a/Source/UnitTests/Core/Explorer/ClusterSimulation.cpp
+++ b/Source/UnitTests/Core/Explorer/ClusterSimulation.cpp
@@ -6,6 +6,7 @@
 
 const Records::topic_partition intakePartition { "keyed.intake", 0 };
 const Records::topic_partition progressPartition { "keyed.progress", 0 };
+const Records::topic_partition handoverPartition { "keyed.handover", 0 };
 const Records::topic_partition workerPartition { "keyed.workers", 0 };
 
 constexpr Common::millis stepTime { 50 };
@@ -49,6 +50,7 @@
             return reader;
         };
         m_progress = startReader(progressPartition, 200, m_progressFeed);
+        m_handovers = startReader(handoverPartition, 200, m_handoverFeed);
         m_workerList = startReader(workerPartition, 400, m_nullSink);
         m_intake = std::make_unique<Records::partition_reader_group>(
             std::vector { startReader(intakePartition, static_cast<int>(ControlPlane::leadership_manager::standbyIntakeInterval.count()), m_intakeFeed) });
@@ -58,13 +60,15 @@
                                                                               .operatorFormat = m_format,
                                                                               .jobRegistry = m_jobs,
                                                                               .progressFeed = m_progressFeed,
+                                                                              .handoverFeed = m_handoverFeed,
                                                                               .progress = *m_progress,
                                                                               .workerList = *m_workerList,
                                                                               .intake = *m_intake,
                                                                               .eventCounters = m_eventCounters },
             ControlPlane::leadership_options { .member = m_member,
                 .capacity = m_simulation.capacityOf(m_number),
-                .progressTopic = progressPartition });
+                .progressTopic = progressPartition,
+                .handoverTopic = handoverPartition });
         m_leadership->setRules(m_simulation.rules());
         for (const auto& entry : m_simulation.workerEntries())
             m_leadership->workerRegistered(entry);
@@ -200,7 +204,9 @@
     Jobs::job_registry m_jobs;
     ControlPlane::intake_feed m_intakeFeed { m_jobs, *this };
     ControlPlane::progress_feed m_progressFeed { m_jobs };
+    ControlPlane::handover_feed m_handoverFeed;
     std::shared_ptr<Records::partition_reader> m_progress;
+    std::shared_ptr<Records::partition_reader> m_handovers;
     std::shared_ptr<Records::partition_reader> m_workerList;
     std::unique_ptr<Records::partition_reader_group> m_intake;
     std::unique_ptr<ControlPlane::leadership_manager> m_leadership;
