Wait for the instance manager before a handover, not after it

An overloaded leader agreed to a handover but didn't release leadership: it ended its term, then waited 0.5 s for the instance manager, which takes up to 1.5 s. Leadership passed as from a silent leader, and another small instance could claim it.

The leader now stops moving instances first, goes on otherwise, and agrees once all orders are answered. It tries for 2 s after a request instead of 1 s, then resumes. LeaderTerm has `pauseInstanceOrders` for that.

Tests: "A leader with unanswered orders to the instance manager waits for them and releases leadership" failed before; "No instance is moved while instance orders are paused".

--- a/Source/Core/ControlPlane/LeaderTerm.cpp
+++ b/Source/Core/ControlPlane/LeaderTerm.cpp
@@ -295,7 +295,7 @@
         m_dispatcher.setLogComplete();
     // Plan instances first, so that a worker that is about to leave gets no more starts.
     if (m_capacity)
-        m_capacity->plan(leadership.isConfirmed(m_parts.timers.now()));
+        m_capacity->plan(!m_areInstanceOrdersPaused && leadership.isConfirmed(m_parts.timers.now()));
     sendOrders(m_dispatcher.plan(m_parts.timers.now(), Common::wallNow(), leadership));
     flush();
     if (m_dispatcher.isFenced())
--- a/Source/Core/ControlPlane/LeaderTerm.h
+++ b/Source/Core/ControlPlane/LeaderTerm.h
@@ -51,6 +51,8 @@
     bool isOver() const { return m_isOver; }
     /// Whether the instance manager has unanswered orders.
     bool hasOpenOrders() const { return m_capacity && m_capacity->hasOpenOrders(); }
+    /// While paused, no instance is moved and no maintenance begins.
+    void pauseInstanceOrders(bool isPaused) { m_areInstanceOrdersPaused = isPaused; }
     std::int64_t number() const { return m_options.number; }
     /// Whether the log has all placements of this leader and earlier ones.
     bool areAllPlacementsLogged() const { return m_isStarted && m_dispatcher.areAllPlacementsLogged(m_parts.timers.now()); }
@@ -91,6 +93,7 @@
     int m_pendingCommits { 0 };
     Common::instant m_commitBeganAt;
     Common::instant m_connectionsCheckedAt;
+    bool m_areInstanceOrdersPaused { false };
     bool m_isPlanScheduled { false };
     bool m_isStarted { false };
     bool m_isOver { false };
--- a/Source/Core/ControlPlane/LeadershipHandover.cpp
+++ b/Source/Core/ControlPlane/LeadershipHandover.cpp
@@ -65,9 +65,11 @@
     case handover_answer::NotConfirmed:
         return "not_confirmed";
     case handover_answer::PlacementsNotLogged:
+        return "placements_not_logged";
+    case handover_answer::OrdersOpen:
         break;
     }
-    return "placements_not_logged";
+    return "orders_open";
 }
 
 handover_answer answerHandover(leader_room candidate, const handover_leader& leader)
@@ -78,7 +80,9 @@
         return handover_answer::TooSoon;
     if (!leader.isConfirmed)
         return handover_answer::NotConfirmed;
-    return leader.arePlacementsLogged ? handover_answer::Agreed : handover_answer::PlacementsNotLogged;
+    if (!leader.arePlacementsLogged)
+        return handover_answer::PlacementsNotLogged;
+    return leader.hasOpenOrders ? handover_answer::OrdersOpen : handover_answer::Agreed;
 }
 
 }
--- a/Source/Core/ControlPlane/LeadershipHandover.h
+++ b/Source/Core/ControlPlane/LeadershipHandover.h
@@ -48,7 +48,9 @@
     TooSoon,
     /// The store doesn't confirm leadership at present.
     NotConfirmed,
-    PlacementsNotLogged
+    PlacementsNotLogged,
+    /// The instance manager has unanswered orders: the leader sends no more, and waits for the answers.
+    OrdersOpen
 };
 
 const char* toText(handover_answer);
@@ -61,6 +63,7 @@
     bool followsFailedHandover { false };
     bool isConfirmed { false };
     bool arePlacementsLogged { false };
+    bool hasOpenOrders { false };
 };
 
 handover_answer answerHandover(leader_room candidate, const handover_leader&);
--- a/Source/Core/ControlPlane/LeadershipManager.cpp
+++ b/Source/Core/ControlPlane/LeadershipManager.cpp
@@ -18,8 +18,9 @@
     constexpr Common::millis releasePollInterval { 20 };
     constexpr Common::millis handoverCheckInterval { 100 };
     constexpr Common::millis handoverRequestTimeout { 300 };
-    /// A leader that can't hand over yet tries again for this long after a request.
-    constexpr Common::millis handoverRequestLifetime { 1000 };
+    /// A leader that can't hand over yet tries again for this long after a request. Longer than the instance manager
+    /// takes to answer an order.
+    constexpr Common::millis handoverRequestLifetime { 2000 };
     constexpr auto leaderWriter = "holder";
 
 }
@@ -190,6 +191,7 @@
     if (m_isRequestAnswered)
         return;
     const auto answer = answerHandover(roomOf(request->capacity), handoverState());
+    m_term->pauseInstanceOrders(answer == handover_answer::OrdersOpen);
     if (answer == handover_answer::Agreed) {
         m_isRequestAnswered = true;
         Common::writeEvent(Common::log_level::Info, Common::log_category::Membership, "handover_agreed",
@@ -197,6 +199,7 @@
         endTerm(request->member);
     } else if (now - m_requestSeenAt >= handoverRequestLifetime) {
         m_isRequestAnswered = true;
+        m_term->pauseInstanceOrders(false);
         refuseHandover(*request, answer);
     }
 }
@@ -216,7 +219,8 @@
         .followsFailedHandover = feed.released() + 1 == m_term->number() && !feed.successor().empty()
             && feed.successor() != m_options.member,
         .isConfirmed = m_election->status().isConfirmed(now),
-        .arePlacementsLogged = m_term->areAllPlacementsLogged() };
+        .arePlacementsLogged = m_term->areAllPlacementsLogged(),
+        .hasOpenOrders = m_term->hasOpenOrders() };
 }
 
 void leadership_manager::setRules(const Rules::fleet_rules& rules)
--- a/Source/UnitTests/Core/ControlPlane/LeaderTermTest.cpp
+++ b/Source/UnitTests/Core/ControlPlane/LeaderTermTest.cpp
@@ -179,3 +179,16 @@
     s.manager.open[0](Capacity::instance_outcome::Done);
     CHECK_FALSE(s.term->hasOpenOrders());
 }
+
+TEST_CASE("No instance is moved while instance orders are paused", "[station]")
+{
+    term_fixture s;
+    s.startDispatching();
+    s.term->pauseInstanceOrders(true);
+    s.accept("j");
+    s.timers.advance(Common::millis(1000));
+    CHECK_FALSE(s.term->hasOpenOrders());
+    s.term->pauseInstanceOrders(false);
+    s.timers.advance(Common::millis(300));
+    CHECK(s.term->hasOpenOrders());
+}
--- a/Source/UnitTests/Core/ControlPlane/LeadershipFixture.h
+++ b/Source/UnitTests/Core/ControlPlane/LeadershipFixture.h
@@ -37,6 +37,39 @@
     bool isUnresponsive { false };
 };
 
+/// Instances in the spare pool. Moves take a while and get no answer, so that they are ordered again and again.
+struct unanswering_manager : Capacity::instance_gateway {
+    explicit unanswering_manager(manual_timers& owner)
+        : timers(owner)
+    {
+    }
+
+    void list(Common::millis,
+        std::function<void(std::optional<std::vector<Capacity::instance_entry>>)> handler) override
+    {
+        std::vector<Capacity::instance_entry> entries;
+        for (const auto* id : { "i", "j", "k" })
+            entries.push_back({ .id = { id },
+                .pool = { "spare" },
+                .capacity = { .processor = { 8000 }, .memory = { 1000 } } });
+        timers.after(Common::millis(2), [handler, entries] { handler(entries); });
+    }
+    void move(
+        const Capacity::move_order&, Dispatch::fencing_token, Common::millis timeout, outcome_handler handler) override
+    {
+        ++openMoves;
+        timers.after(timeout, [this, handler] {
+            --openMoves;
+            handler(Capacity::instance_outcome::NoAnswer);
+        });
+    }
+    void startMaintenance(
+        const Capacity::maintenance_order&, Dispatch::fencing_token, Common::millis, outcome_handler) override { }
+
+    manual_timers& timers;
+    int openMoves { 0 };
+};
+
 /// Instances with the production readers and leadership managers, on one store in memory and one virtual clock.
 struct leadership_fixture {
     struct null_format : ControlPlane::operator_format {
@@ -58,7 +91,8 @@
     {
         Rules::fleet_rules result;
         result.version = 1;
-        result.pools = { { .id = { "pool" }, .checksCapacity = true } };
+        result.pools = { { .id = { "pool" }, .checksCapacity = true }, { .id = { "spare" }, .isSpare = true } };
+        result.queues = { { .id = { "q" }, .host = "h", .pathPrefix = "/q/", .pool = { "pool" }, .maxAttempts = 2 } };
         return result;
     }
 
@@ -87,6 +121,9 @@
     manual_timers timers;
     fake_store store { timers };
     idle_worker gateway { timers };
+    unanswering_manager manager { timers };
+    /// Whether instances that are added later can have other instances moved.
+    bool hasInstanceManager { false };
     null_format format;
     Jobs::job_registry unusedRegistry;
 };
@@ -104,6 +141,7 @@
             ControlPlane::leadership_parts { .store = *this,
                 .timers = *this,
                 .workers = owner.gateway,
+                .instances = owner.hasInstanceManager ? &owner.manager : nullptr,
                 .operatorFormat = owner.format,
                 .jobRegistry = jobRegistry,
                 .progressFeed = progressFeed,
@@ -132,7 +170,7 @@
         return reader;
     }
 
-    void jobAccepted(const Common::job_id&) override { }
+    void jobAccepted(const Common::job_id& id) override { manager->jobAccepted(id); }
     void jobCancelled(const Common::job_id&) override { }
 
     void after(Common::millis delay, std::function<void()> action) override
--- a/Source/UnitTests/Core/ControlPlane/LeadershipHandoverTest.cpp
+++ b/Source/UnitTests/Core/ControlPlane/LeadershipHandoverTest.cpp
@@ -208,6 +208,11 @@
         leader.arePlacementsLogged = false;
         CHECK(answerHandover(large, leader) == handover_answer::PlacementsNotLogged);
     }
+    SECTION("Not while the instance manager has unanswered orders")
+    {
+        leader.hasOpenOrders = true;
+        CHECK(answerHandover(large, leader) == handover_answer::OrdersOpen);
+    }
 }
 
 TEST_CASE("Leadership never moves back and forth between two capacities", "[station]")
@@ -226,3 +231,25 @@
     s.timers.advance(Common::millis(8000));
     CHECK(s.claimers() == member_list { "small", "large" });
 }
+
+TEST_CASE("A leader with unanswered orders to the instance manager waits for them and releases leadership", "[station]")
+{
+    handover_fixture s;
+    s.hasInstanceManager = true;
+    s.small->kill();
+    const auto next = s.add("next", smallCapacity);
+    s.timers.advance(Common::millis(2500));
+    REQUIRE(s.claimers() == member_list { "small", "next" });
+    const auto large = s.add("large", largeCapacity);
+    s.timers.advance(Common::millis(1400));
+    const auto job = ControlPlane::jobRecord({ .id = { "j" },
+        .queue = { "q" },
+        .spec = { .steps = { { .count = 40, .request = { .processor = { 1000 }, .memory = { 10 } } } } } });
+    s.store.put({ "keyed.intake", 0 }, job.key, job.value);
+    s.advanceUntilRecord("@handover");
+    REQUIRE(s.manager.openMoves > 0);
+    s.advanceUntilRecord("@released");
+    CHECK(s.manager.openMoves == 0);
+    s.timers.advance(Common::millis(1000));
+    CHECK(s.claimers() == member_list { "small", "next", "large" });
+}
