--- a/Source/Core/ControlPlane/LeadershipHandover.h
+++ b/Source/Core/ControlPlane/LeadershipHandover.h
@@ -49,7 +49,7 @@
     /// The store doesn't confirm leadership at present.
     NotConfirmed,
     PlacementsNotLogged,
-    /// The instance manager has unanswered orders.
+    /// The instance manager has unanswered orders: the leader sends no more, and waits for the answers.
     OrdersOpen
 };
 
--- a/Source/Core/ControlPlane/LeadershipManager.cpp
+++ b/Source/Core/ControlPlane/LeadershipManager.cpp
@@ -18,8 +18,9 @@
     constexpr Common::millis releasePollInterval { 20 };
     constexpr Common::millis handoverCheckInterval { 100 };
     constexpr Common::millis handoverRequestTimeout { 300 };
-    /// A leader that can't hand over yet tries again for this long after a request.
-    constexpr Common::millis handoverRequestLifetime { 1000 };
+    /// A leader that can't hand over yet tries again for this long after a request. Longer than the instance manager
+    /// takes to answer an order.
+    constexpr Common::millis handoverRequestLifetime { 2000 };
     constexpr auto leaderWriter = "holder";
 
 }
@@ -156,7 +157,9 @@
 void leadership_manager::considerRequestingHandover()
 {
     const auto& claim = m_parts.progressFeed.claim();
-    const auto& newest = m_parts.progressFeed.handoverRequest();
+    const auto& newest = m_parts.handoverFeed.request();
+    if (newest)
+        m_election->noteRequest(*newest);
     const bool canStartTerm
         = m_election->isCandidate() && m_parts.progress.isLoaded() && findObstacle() == term_obstacle::None;
     const handover_view view { .claim = claim.number,
@@ -170,7 +173,7 @@
     Common::writeEvent(Common::log_level::Info, Common::log_category::Membership, "handover_requested",
         { { "number", std::to_string(claim.number) }, { "leader", claim.member },
             { "leader_room", std::to_string(view.leader.value) }, { "room", std::to_string(view.own.value) } });
-    const Records::append_request request { .partition = m_options.progressTopic,
+    const Records::append_request request { .partition = m_options.handoverTopic,
         .records = { handoverRecord(
             { .member = m_options.member, .claim = claim.number, .capacity = m_options.capacity, .offset = {} }) } };
     m_parts.store.append(request, handoverRequestTimeout, [](const auto&) {});
@@ -178,7 +181,7 @@
 
 void leadership_manager::considerHandingOver()
 {
-    const auto request = m_parts.progressFeed.handoverRequest();
+    const auto request = m_parts.handoverFeed.request();
     if (!request || request->claim != m_term->number())
         return;
     const auto now = m_parts.timers.now();
@@ -190,6 +193,7 @@
     if (m_isRequestAnswered)
         return;
     const auto answer = answerHandover(roomOf(request->capacity), handoverState());
+    m_term->pauseInstanceOrders(answer == handover_answer::OrdersOpen);
     if (answer == handover_answer::Agreed) {
         m_isRequestAnswered = true;
         Common::writeEvent(Common::log_level::Info, Common::log_category::Membership, "handover_agreed",
@@ -197,6 +201,7 @@
         endTerm(request->member);
     } else if (now - m_requestSeenAt >= handoverRequestLifetime) {
         m_isRequestAnswered = true;
+        m_term->pauseInstanceOrders(false);
         refuseHandover(*request, answer);
     }
 }
--- a/Source/UnitTests/Core/ControlPlane/LeaderTermTest.cpp
+++ b/Source/UnitTests/Core/ControlPlane/LeaderTermTest.cpp
@@ -269,3 +269,16 @@
     CHECK(s.gateway.spent > Common::millis(300));
     CHECK(s.gateway.spent * 5 < elapsed * 2);
 }
+
+TEST_CASE("No instance is moved while instance orders are paused", "[station]")
+{
+    term_fixture s;
+    s.startDispatching();
+    s.term->pauseInstanceOrders(true);
+    s.accept("j");
+    s.timers.advance(Common::millis(1000));
+    CHECK_FALSE(s.term->hasOpenOrders());
+    s.term->pauseInstanceOrders(false);
+    s.timers.advance(Common::millis(300));
+    CHECK(s.term->hasOpenOrders());
+}
--- a/Source/UnitTests/Core/ControlPlane/LeadershipFixture.h
+++ b/Source/UnitTests/Core/ControlPlane/LeadershipFixture.h
@@ -37,6 +37,39 @@
     bool isUnresponsive { false };
 };
 
+/// Instances in the spare pool. Moves take a while and get no answer, so that they are ordered again and again.
+struct unanswering_manager : Capacity::instance_gateway {
+    explicit unanswering_manager(manual_timers& owner)
+        : timers(owner)
+    {
+    }
+
+    void list(Common::millis,
+        std::function<void(std::optional<std::vector<Capacity::instance_entry>>)> handler) override
+    {
+        std::vector<Capacity::instance_entry> entries;
+        for (const auto* id : { "i", "j", "k" })
+            entries.push_back({ .id = { id },
+                .pool = { "spare" },
+                .capacity = { .processor = { 8000 }, .memory = { 1000 } } });
+        timers.after(Common::millis(2), [handler, entries] { handler(entries); });
+    }
+    void move(
+        const Capacity::move_order&, Dispatch::fencing_token, Common::millis timeout, outcome_handler handler) override
+    {
+        ++openMoves;
+        timers.after(timeout, [this, handler] {
+            --openMoves;
+            handler(Capacity::instance_outcome::NoAnswer);
+        });
+    }
+    void startMaintenance(
+        const Capacity::maintenance_order&, Dispatch::fencing_token, Common::millis, outcome_handler) override { }
+
+    manual_timers& timers;
+    int openMoves { 0 };
+};
+
 /// Instances with the production readers and leadership managers, on one store in memory and one virtual clock.
 struct leadership_fixture {
     struct null_format : ControlPlane::operator_format {
@@ -52,11 +85,14 @@
 
     static Records::topic_partition progress() { return { "keyed.progress", 0 }; }
 
+    static Records::topic_partition handovers() { return { "keyed.handover", 0 }; }
+
     static Rules::fleet_rules rules()
     {
         Rules::fleet_rules result;
         result.version = 1;
-        result.pools = { { .id = { "pool" }, .checksCapacity = true } };
+        result.pools = { { .id = { "pool" }, .checksCapacity = true }, { .id = { "spare" }, .isSpare = true } };
+        result.queues = { { .id = { "q" }, .host = "h", .pathPrefix = "/q/", .pool = { "pool" }, .maxAttempts = 2 } };
         return result;
     }
 
@@ -85,6 +121,9 @@
     manual_timers timers;
     fake_store store { timers };
     idle_worker gateway { timers };
+    unanswering_manager manager { timers };
+    /// Whether instances that are added later can have other instances moved.
+    bool hasInstanceManager { false };
     null_format format;
     Jobs::job_registry unusedRegistry;
 };
@@ -94,6 +133,7 @@
         : fixture(owner)
     {
         progressReader = startReader(progress(), Common::millis(200), progressFeed);
+        handoverReader = startReader(handovers(), Common::millis(200), handoverFeed);
         workerList = startReader({ "keyed.workers", 0 }, Common::millis(400), nullSink);
         intake = std::make_unique<Records::partition_reader_group>(std::vector { startReader(
             { "keyed.intake", 0 }, ControlPlane::leadership_manager::standbyIntakeInterval, intakeFeed) });
@@ -101,9 +141,11 @@
             ControlPlane::leadership_parts { .store = *this,
                 .timers = *this,
                 .workers = owner.gateway,
+                .instances = owner.hasInstanceManager ? &owner.manager : nullptr,
                 .operatorFormat = owner.format,
                 .jobRegistry = jobRegistry,
                 .progressFeed = progressFeed,
+                .handoverFeed = handoverFeed,
                 .progress = *progressReader,
                 .workerList = *workerList,
                 .intake = *intake,
@@ -129,7 +171,7 @@
         return reader;
     }
 
-    void jobAccepted(const Common::job_id&) override { }
+    void jobAccepted(const Common::job_id& id) override { manager->jobAccepted(id); }
     void jobCancelled(const Common::job_id&) override { }
 
     void after(Common::millis delay, std::function<void()> action) override
@@ -159,7 +201,9 @@
     void read(const Records::read_request& request, Common::millis timeout,
         std::function<void(Records::read_result)> handler) override
     {
-        if (*isAlive)
+        if (request.partition == unreadablePartition)
+            after(timeout, [handler] { handler({}); });
+        else if (*isAlive)
             fixture.store.read(request, timeout, whileAlive(std::move(handler)));
     }
     void newest(const Records::topic_partition& source, const std::string& afterKey, Common::millis timeout,
@@ -170,6 +214,8 @@
     }
 
     leadership_fixture& fixture;
+    /// Reads of this one get no answer.
+    std::optional<Records::topic_partition> unreadablePartition;
     std::shared_ptr<bool> isAlive = std::make_shared<bool>(true);
     null_sink nullSink;
     Jobs::job_registry jobRegistry;
@@ -180,6 +226,8 @@
     ControlPlane::intake_feed intakeFeed { jobRegistry, *this };
     ControlPlane::progress_feed progressFeed { jobRegistry };
     std::shared_ptr<Records::partition_reader> progressReader;
+    ControlPlane::handover_feed handoverFeed;
+    std::shared_ptr<Records::partition_reader> handoverReader;
     std::shared_ptr<Records::partition_reader> workerList;
     std::unique_ptr<Records::partition_reader_group> intake;
     std::unique_ptr<ControlPlane::leadership_manager> manager;
--- a/Source/UnitTests/Core/ControlPlane/LeadershipHandoverTest.cpp
+++ b/Source/UnitTests/Core/ControlPlane/LeadershipHandoverTest.cpp
@@ -23,12 +23,15 @@
     std::unique_ptr<instance> add(const std::string& member, const ControlPlane::instance_capacity& capacity)
     {
         auto added = std::make_unique<instance>(*this,
-            ControlPlane::leadership_options { .member = member, .capacity = capacity, .progressTopic = progress() });
+            ControlPlane::leadership_options { .member = member, .capacity = capacity, .progressTopic = progress(), .handoverTopic = handovers() });
         added->manager->setRules(rules());
         return added;
     }
 
-    bool hasRecord(const std::string& key) { return store.partitions[progress()].newest.contains(key); }
+    bool hasRecord(const std::string& key)
+    {
+        return store.partitions[progress()].newest.contains(key) || store.partitions[handovers()].newest.contains(key);
+    }
 
     void advanceUntilRecord(const std::string& key)
     {
@@ -132,7 +135,7 @@
     {
         const auto other = s.add("other", largeCapacity);
         s.advanceUntilRecord("@released");
-        const bool isLargeNamed = large->progressFeed.handoverRequest()->member == "large";
+        const bool isLargeNamed = large->handoverFeed.request()->member == "large";
         (isLargeNamed ? *large : *other).kill();
         CHECK(s.timeToClaims(2, Common::millis(5000)) < Common::millis(1400));
         CHECK(s.claimers().back() == (isLargeNamed ? "other" : "large"));
@@ -219,3 +222,34 @@
             CHECK_FALSE((ControlPlane::isClearlyLarger({ one }, { two }) && ControlPlane::isClearlyLarger({ two }, { one })));
     }
 }
+
+TEST_CASE("A leader that can't read its own progress any more hands leadership over", "[station]")
+{
+    handover_fixture s;
+    s.small->unreadablePartition = leadership_fixture::progress();
+    const auto large = s.add("large", largeCapacity);
+    s.timers.advance(Common::millis(8000));
+    CHECK(s.claimers() == member_list { "small", "large" });
+}
+
+TEST_CASE("A leader with unanswered orders to the instance manager waits for them and releases leadership", "[station]")
+{
+    handover_fixture s;
+    s.hasInstanceManager = true;
+    s.small->kill();
+    const auto next = s.add("next", smallCapacity);
+    s.timers.advance(Common::millis(2500));
+    REQUIRE(s.claimers() == member_list { "small", "next" });
+    const auto large = s.add("large", largeCapacity);
+    s.timers.advance(Common::millis(1400));
+    const auto job = ControlPlane::jobRecord({ .id = { "j" },
+        .queue = { "q" },
+        .spec = { .steps = { { .count = 40, .request = { .processor = { 1000 }, .memory = { 10 } } } } } });
+    s.store.put({ "keyed.intake", 0 }, job.key, job.value);
+    s.advanceUntilRecord("@handover");
+    REQUIRE(s.manager.openMoves > 0);
+    s.advanceUntilRecord("@released");
+    CHECK(s.manager.openMoves == 0);
+    s.timers.advance(Common::millis(1000));
+    CHECK(s.claimers() == member_list { "small", "next", "large" });
+}
