Send starts only on recent views, with a short deadline

Callers saw tasks start on workers seconds after these had reported that they drain, and tasks of cancelled jobs start late. A leader used its views of the registrations, the intake and the operators' topic however old they were, and a start could begin on its worker during a whole lease (3 s) after it was sent.

Starts wait until each of these views was confirmed by a read that began at most 0.7 s ago; views older than 0.4 s are read again while starts are planned. A start's deadline is 1.2 s after its sending; the poll after its answer renews the lease to 3 s. Without the store starts get the long lease as before.

Slow is now 350 ms, half of the timeout, the smallest window 8, and a pool plans at most four starts for each place in the window (64 at least) before they are sent; the step that crosses this is planned completely.

New tests: "A start waits until the registrations have been read recently" failed with that check taken out (a task began 4,008 ms after the drain), "A start that arrives late is refused" with the lease of 3 s (it began 1.4 s after it was sent). "Starts beyond what may be sent stay planned, up to a limit", "A gang isn't split by the limit of starts".

--- a/Source/Core/ControlPlane/LeaderTerm.cpp
+++ b/Source/Core/ControlPlane/LeaderTerm.cpp
@@ -3,6 +3,8 @@
 #include "Common/Logging.h"
 #include "ControlPlane/JobFeeds.h"
 
+#include <algorithm>
+
 namespace ControlPlane {
 
 namespace {
@@ -23,6 +25,9 @@
     constexpr Common::millis commitTimeout { 600 };
     /// The store counts as unresponsive when an append of progress takes longer.
     constexpr Common::millis slowCommitTime { 200 };
+    /// Starts that may be planned in a pool for each place in the window of unanswered starts, and at least.
+    constexpr int plannedPerPlace = 4;
+    constexpr int minPlannedPerPool = 64;
     /// Run numbers that one term may use for a task.
     constexpr std::int64_t runsPerTerm = 1000;
 
@@ -317,17 +322,25 @@
     // Plan instances first, so that a worker that is about to leave gets no more starts.
     if (m_capacity)
         m_capacity->plan(leadership.isConfirmed(m_parts.timers.now()));
-    m_dispatcher.limitStarts(startRoom());
+    const bool isStoreUnresponsive = leadership.isStoreUnresponsive || !leadership.isConfirmed(m_parts.timers.now());
+    m_dispatcher.limitStarts({ .room = startRoom(isStoreUnresponsive), .plannedPerPool = std::max(minPlannedPerPool, plannedPerPlace * m_window.size()) });
     sendOrders(m_dispatcher.plan(m_parts.timers.now(), Common::wallNow(), leadership));
+    if (m_dispatcher.awaitsPlacementLog())
+        m_parts.health.views.refreshOld([self = shared_from_this()] { self->schedulePlan(); });
     flush();
     if (m_dispatcher.isFenced())
         loseLeadership("fenced_by_worker");
 }
 
-int leader_term::startRoom() const
+int leader_term::startRoom(bool isStoreUnresponsive) const
 {
-    // What arrived meanwhile may forbid the start.
-    return m_parts.health.load.isBehind() ? 0 : m_window.room();
+    // What the leader hasn't read yet may forbid the start.
+    if (m_parts.health.load.isBehind())
+        return 0;
+    // Without the store the rules of an outage hold: what can't be read doesn't hold back what was read before it.
+    const bool mayLackAnswers = !m_window.isCongested();
+    const bool mayUseViews = isStoreUnresponsive || m_parts.health.views.areRecent(mayLackAnswers);
+    return mayUseViews ? m_window.room() : 0;
 }
 
 void leader_term::sendOrders(const Dispatch::dispatch_orders& orders)
--- a/Source/Core/ControlPlane/LeaderTerm.h
+++ b/Source/Core/ControlPlane/LeaderTerm.h
@@ -81,7 +81,7 @@
     void schedulePlan();
     void planAndSend();
     /// How many starts may be sent now.
-    int startRoom() const;
+    int startRoom(bool isStoreUnresponsive) const;
     void sendOrders(const Dispatch::dispatch_orders&);
     void sendStart(const Dispatch::start_order&);
     void sendStop(const Dispatch::stop_order&);
--- a/Source/Core/ControlPlane/ViewMonitor.cpp
+++ b/Source/Core/ControlPlane/ViewMonitor.cpp
@@ -52,16 +52,17 @@
     });
 }
 
-void view_monitor::refreshOld()
+void view_monitor::refreshOld(const std::function<void()>& onRead)
 {
     for (const auto& view : m_views) {
         const auto viewAge = ageOf(*view);
         if (view->isRefreshing || !viewAge || *viewAge < refreshAge)
             continue;
         view->isRefreshing = true;
-        view->reader->refresh(refreshTimeout, [view](bool isRead) {
+        view->reader->refresh(refreshTimeout, [view, onRead](bool isRead) {
             view->isRefreshing = false;
             view->isUnanswered = !isRead;
+            onRead();
         });
     }
 }
--- a/Source/Core/ControlPlane/ViewMonitor.h
+++ b/Source/Core/ControlPlane/ViewMonitor.h
@@ -21,8 +21,8 @@
     view_monitor& operator=(const view_monitor&) = delete;
 
     void add(view_kind, const std::shared_ptr<Records::partition_reader>&);
-    /// Reads again what is too old for starts soon.
-    void refreshOld();
+    /// Reads again what is too old for starts soon. `onRead` is called after each of these reads.
+    void refreshOld(const std::function<void()>& onRead);
     /// Age of the oldest view of this kind; empty if one hasn't been read yet.
     std::optional<Common::millis> age(view_kind) const;
     /// Whether each view is recent enough for a start. With `mayLackAnswers`, a view that the store failed to answer
--- a/Source/Core/Dispatch/Dispatcher.cpp
+++ b/Source/Core/Dispatch/Dispatcher.cpp
@@ -229,9 +229,13 @@
 void dispatcher::planStarts(const Common::pool_id& pool, Common::instant now, Common::wall_millis wall)
 {
     const auto workers = schedulableWorkers(pool, now);
-    if (workers.empty())
+    const int planned = plannedIn(pool);
+    if (workers.empty() || planned >= m_startLimits.plannedPerPool)
         return;
+    const auto limit = m_pendingStarts.size() + static_cast<std::size_t>(m_startLimits.plannedPerPool - planned);
     for (auto* job : jobsInOrder(pool, now, wall)) {
+        if (m_pendingStarts.size() >= limit)
+            return;
         for (auto& [number, occurrence] : job->occurrences()) {
             for (int step = 0; step < static_cast<int>(occurrence.steps.size()); ++step) {
                 const auto& state = occurrence.steps[static_cast<std::size_t>(step)];
--- a/Source/Core/Dispatch/Dispatcher.h
+++ b/Source/Core/Dispatch/Dispatcher.h
@@ -92,6 +92,13 @@
     Common::millis oldestReport { 0 };
 };
 
+struct start_limits {
+    /// How many starts may be sent.
+    int room { std::numeric_limits<int>::max() };
+    /// No more starts are planned in a pool while this many haven't been sent.
+    int plannedPerPool { std::numeric_limits<int>::max() };
+};
+
 /// How long the leadership is confirmed. Another leader can take over only after `confirmedUntil`. Before it restarts
 /// tasks that it can't see, it waits until the longest lease that may have been granted by then has expired. Until that
 /// time this leader may go on with what it knew at `confirmedUntil`, provided that no lease it grants ends later.
@@ -125,8 +132,8 @@
     void addJob(const Jobs::job_record&, const Jobs::job_progress&, Common::instant now);
     void cancelJob(const Common::job_id&);
 
-    /// How many starts the next plans may send. The others stay planned, and a gang is sent completely or not at all.
-    void limitStarts(int room) { m_startRoom = room; }
+    /// How many starts the next plan may send. The others stay planned, and a gang is sent completely or not at all.
+    void limitStarts(const start_limits& limits) { m_startLimits = limits; }
     dispatch_orders plan(Common::instant now, Common::wall_millis wall, const leadership_status&);
     void onStart(const start_order&, const order_reply&, Common::instant now);
     void onStop(const stop_order&, const order_reply&, Common::instant now);
@@ -172,6 +179,7 @@
     std::vector<open_job*> jobsInOrder(const Common::pool_id&, Common::instant now, Common::wall_millis wall);
 
     void expireLeases(Common::instant now, const leadership_status&);
+    int plannedIn(const Common::pool_id&) const;
     void planStarts(const Common::pool_id&, Common::instant now, Common::wall_millis wall);
     bool mayStart(const task_state&, Common::instant now) const;
     void planStep(open_job&, int occurrence, int step, const std::vector<worker_state*>&, Common::instant now);
@@ -184,6 +192,8 @@
     void sendStarts(Common::instant now, dispatch_orders&);
     bool maySend(const placement&, Common::instant now);
     void sendStart(const placement&, Common::instant now, dispatch_orders&);
+    /// How long after its sending a start may begin.
+    Common::millis startLease() const;
     task_run* findRun(const placement&);
     task_run* findPlanned(const placement&);
     void releaseUnsent(Common::instant now);
@@ -233,7 +243,7 @@
     std::set<std::string> m_neverStarted;
     /// Starts that haven't been sent, since the log doesn't have their placements yet.
     std::vector<placement> m_pendingStarts;
-    int m_startRoom { std::numeric_limits<int>::max() };
+    start_limits m_startLimits;
     team_usage m_usage;
     /// Jobs whose progress has to be stored.
     std::set<std::string> m_dirty;
--- a/Source/Core/Dispatch/DispatcherPlacements.cpp
+++ b/Source/Core/Dispatch/DispatcherPlacements.cpp
@@ -41,6 +41,14 @@
     m_pendingStarts.push_back({ .task = name, .worker = worker.entry.id, .run = run });
 }
 
+int dispatcher::plannedIn(const Common::pool_id& pool) const
+{
+    return static_cast<int>(std::count_if(m_pendingStarts.begin(), m_pendingStarts.end(), [this, &pool](const auto& planned) {
+        const auto worker = m_workers.find(planned.worker);
+        return worker != m_workers.end() && worker->second.entry.pool == pool;
+    }));
+}
+
 task_run* dispatcher::findRun(const placement& start)
 {
     const auto worker = m_workers.find(start.worker);
@@ -93,16 +101,22 @@
             continue;
         }
         const bool completesGang = job->spec(planned.task).isGang && lastSent && isSameStep(*lastSent, planned.task);
-        if (m_startRoom <= 0 && !completesGang) {
+        if (m_startLimits.room <= 0 && !completesGang) {
             m_pendingStarts.push_back(planned);
             continue;
         }
-        --m_startRoom;
+        --m_startLimits.room;
         lastSent = planned.task;
         sendStart(planned, now, orders);
     }
 }
 
+Common::millis dispatcher::startLease() const
+{
+    // Without the store, tasks have to outlast a takeover.
+    return m_isDegraded ? m_currentLease : std::min(m_currentLease, m_options.lease.startLease);
+}
+
 void dispatcher::sendStart(const placement& planned, Common::instant now, dispatch_orders& orders)
 {
     auto& run = *findPlanned(planned);
@@ -117,7 +131,7 @@
         .run = planned.run,
         .payload = job.record().spec.payload,
         .checkpoint = job.find(planned.task)->checkpoint,
-        .deadline = worker.grantLease(now, m_currentLease) });
+        .deadline = worker.grantLease(now, startLease()) });
 }
 
 void dispatcher::releaseUnsent(Common::instant now)
--- a/Source/Core/Dispatch/StartWindow.cpp
+++ b/Source/Core/Dispatch/StartWindow.cpp
@@ -6,10 +6,10 @@
 
 namespace {
 
-    constexpr int minWindow = 2;
+    constexpr int minWindow = 8;
     constexpr int maxWindow = 512;
     /// An answer that takes longer is slow.
-    constexpr Common::millis slowAnswer { 150 };
+    constexpr Common::millis slowAnswer { 350 };
     /// Shortest time between two reductions; answers to orders from before a reduction don't show its effect.
     constexpr Common::millis reductionInterval { 200 };
     /// The window shrinks for one slow answer per this many places in it.
@@ -21,6 +21,8 @@
 
 int start_window::room() const { return std::max(0, m_size - m_inFlight); }
 
+bool start_window::isCongested() const { return m_size <= minWindow; }
+
 void start_window::sent()
 {
     ++m_inFlight;
--- a/Source/Core/Dispatch/WorkerState.h
+++ b/Source/Core/Dispatch/WorkerState.h
@@ -102,8 +102,10 @@
 
 /// Durations of the leases that a leader grants to runs on workers.
 struct lease_options {
-    /// Granted with each start and each poll.
+    /// Granted with each poll.
     Common::millis lease { 3000 };
+    /// Granted with each start: one that arrives later is refused, and the poll after it renews the lease.
+    Common::millis startLease { 1200 };
     /// Longest lease, granted while the store doesn't answer so that tasks survive an outage of it. A new leader
     /// assumes that its predecessor granted this much.
     Common::millis maxLease { 9500 };
--- a/Source/UnitTests/Core/ControlPlane/LeaderTermTest.cpp
+++ b/Source/UnitTests/Core/ControlPlane/LeaderTermTest.cpp
@@ -192,12 +192,18 @@
     s.timers.advance(Common::millis(500));
     CHECK(s.term->load().interval == Common::millis(0));
     s.accept("j");
+    // No worker has room for this one.
+    s.jobRegistry.accept({ .id = { "huge" },
+        .queue = { "q" },
+        .spec = { .steps = { { .count = 3, .request = { .processor = { 9000 } } } } } });
+    s.term->jobAccepted({ "huge" });
     s.timers.advance(Common::millis(700));
     const auto load = s.term->load();
     CHECK(load.interval >= Common::millis(1000));
     CHECK(load.worstLag == Common::millis(0));
     CHECK(load.slowestAnswer == Common::millis(2));
     CHECK(load.startsInFlight == 0);
-    CHECK(load.backlog.tasksWaiting == 0);
+    CHECK(load.backlog.tasksWaiting >= 3);
+    CHECK(load.backlog.tasksWaiting <= 4);
     CHECK(load.rulesAge);
 }
--- a/Source/UnitTests/Core/ControlPlane/OverloadedLeaderTest.cpp
+++ b/Source/UnitTests/Core/ControlPlane/OverloadedLeaderTest.cpp
@@ -348,3 +348,36 @@
         CHECK(s.link.begun == 20);
     }
 }
+
+TEST_CASE("A start waits until the registrations have been read recently", "[overload]")
+{
+    overload_fixture s;
+    s.store.unreadable.insert(workerPartition);
+    s.timers.advance(std::chrono::seconds(5));
+    s.drain(0);
+    s.timers.advance(std::chrono::seconds(4));
+
+    SECTION("a worker whose drain wasn't read gets no task")
+    {
+        s.store.unreadable.clear();
+        s.accept("j", 20);
+        s.timers.advance(std::chrono::seconds(2));
+        CHECK(s.link.begun == 20);
+        CHECK(s.link.latestOnDrained == Common::millis(0));
+    }
+    SECTION("while the store doesn't answer such reads, starts go on")
+    {
+        s.accept("j", 20);
+        s.timers.advance(std::chrono::seconds(3));
+        CHECK(s.link.begun == 20);
+    }
+}
+
+TEST_CASE("A start that arrives late is refused", "[overload]")
+{
+    overload_fixture s;
+    s.link.orderTime = Common::millis(1400);
+    s.accept("j", 1);
+    s.timers.advance(std::chrono::seconds(4));
+    CHECK(s.link.begun == 0);
+}
--- a/Source/UnitTests/Core/Dispatch/DispatcherTest.cpp
+++ b/Source/UnitTests/Core/Dispatch/DispatcherTest.cpp
@@ -355,3 +355,43 @@
     f.dispatcher.setInstanceWorkers({ { { "w1" }, { "pool" } } }, f.now, f.now, f.wall());
     CHECK(f.plan().starts.size() == 1);
 }
+
+TEST_CASE("Starts beyond what may be sent stay planned, up to a limit", "[dispatch]")
+{
+    dispatcher_fixture f;
+    f.join(f.worker("w1"));
+    f.add(f.job("j", { f.step(8) }));
+    f.dispatcher.limitStarts({ .room = 2, .plannedPerPool = 4 });
+    const auto first = f.plan().starts;
+    CHECK(first.size() == 2);
+    // The step that crosses the limit is planned completely.
+    CHECK(f.dispatcher.backlog(f.now).startsWaiting == 6);
+    f.add(f.job("k", { f.step(1, 0) }));
+    f.plan();
+    CHECK(f.dispatcher.backlog(f.now).tasksWaiting == 1);
+
+    SECTION("a planned start is sent when there is room again")
+    {
+        f.dispatcher.limitStarts({ .room = 10, .plannedPerPool = 4 });
+        CHECK(f.plan().starts.size() == 6);
+        CHECK(f.plan().starts.size() == 1);
+    }
+    SECTION("and isn't sent when its job is cancelled before")
+    {
+        f.dispatcher.cancelJob({ "j" });
+        f.dispatcher.limitStarts({ .room = 10, .plannedPerPool = 4 });
+        const auto later = f.plan().starts;
+        CHECK(std::none_of(later.begin(), later.end(), [](const auto& order) { return order.task.job.value == "j"; }));
+    }
+}
+
+TEST_CASE("A gang isn't split by the limit of starts", "[dispatch]")
+{
+    dispatcher_fixture f;
+    f.join(f.worker("w1"));
+    auto gang = f.step(4);
+    gang.isGang = true;
+    f.add(f.job("j", { gang }));
+    f.dispatcher.limitStarts({ .room = 1 });
+    CHECK(f.plan().starts.size() == 4);
+}
--- a/Source/UnitTests/Core/Dispatch/StartWindowTest.cpp
+++ b/Source/UnitTests/Core/Dispatch/StartWindowTest.cpp
@@ -41,7 +41,7 @@
         for (int count = 0; count < 20; ++count)
             f.round(milliseconds(400));
         CHECK(f.window.size() >= 1);
-        CHECK(f.window.size() <= 4);
+        CHECK(f.window.size() <= first / 8);
 
         SECTION("and it recovers once they are quick")
         {
--- a/Source/UnitTests/Core/Records/FakeStore.h
+++ b/Source/UnitTests/Core/Records/FakeStore.h
@@ -82,6 +82,10 @@
         Common::millis timeout, std::function<void(Records::read_result)> handler) override
     {
         ++reads;
+        if (unreadable.contains(topicPartition)) {
+            timers.after(timeout, [handler] { handler({}); });
+            return;
+        }
         const auto readRecords = [this, topicPartition, from] { return readNow(topicPartition, from); };
         const bool isEmpty = partitions[topicPartition].end() <= from.value;
         const auto delay = isEmpty && wait.count() > 0 ? wait : Common::millis(0);
@@ -206,6 +210,8 @@
     std::map<Records::topic_partition, partition> partitions;
     /// Appends to these are neither executed nor answered.
     std::set<Records::topic_partition> silentPartitions;
+    /// Reads of these aren't answered.
+    std::set<Records::topic_partition> unreadable;
     int appends { 0 };
     int reads { 0 };
     int listings { 0 };
