--- a/Source/Core/Dispatch/DispatcherStarts.cpp
+++ b/Source/Core/Dispatch/DispatcherStarts.cpp
@@ -42,9 +42,16 @@
     jobs.refresh(wall);
     if (jobs.onTime().empty() && jobs.late().empty())
         return;
+    const int planned = plannedIn(pool);
+    if (planned >= m_startLimits.plannedPerPool)
+        return;
     m_observer.onPlanPart(plan_part::Placement);
     placement_index workers(schedulableWorkers(pool, now));
-    const pool_pass pass { .jobs = jobs, .workers = workers, .isReconciled = isPoolReconciled(pool, now), .now = now };
+    const pool_pass pass { .jobs = jobs,
+        .workers = workers,
+        .isReconciled = isPoolReconciled(pool, now),
+        .now = now,
+        .maxPending = m_pendingStarts.size() + static_cast<std::size_t>(m_startLimits.plannedPerPool - planned) };
     // Jobs that can no longer meet their deadline are worth little, so they come after the others.
     if (hasRoom(pass) && planJobs(jobs.onTime(), pass))
         planJobs(jobs.late(), pass);
@@ -62,6 +69,8 @@
 bool dispatcher::planJobs(const std::vector<open_job*>& jobs, const pool_pass& pass)
 {
     for (auto* job : jobs) {
+        if (m_pendingStarts.size() >= pass.maxPending)
+            return false;
         ++m_lastPlan.jobsExamined;
         if (Jobs::isFinal(job->state) || !mayGoOn(*job, pass.now))
             continue;
--- a/Source/UnitTests/Core/Records/FakeStore.h
+++ b/Source/UnitTests/Core/Records/FakeStore.h
@@ -82,7 +82,7 @@
         std::function<void(Records::read_result)> handler) override
     {
         ++reads;
-        if (silentPartitions.contains(request.partition)) {
+        if (silentPartitions.contains(request.partition) || unreadable.contains(request.partition)) {
             timers.after(timeout, [handler] { handler({}); });
             return;
         }
@@ -246,6 +246,8 @@
     std::map<Records::topic_partition, partition> partitions;
     /// Calls about these are neither executed nor answered.
     std::set<Records::topic_partition> silentPartitions;
+    /// Reads of these aren't answered.
+    std::set<Records::topic_partition> unreadable;
     int appends { 0 };
     int reads { 0 };
     /// Records that were returned to readers, by partition.
