--- a/Source/Core/ControlPlane/LeaderTerm.cpp
+++ b/Source/Core/ControlPlane/LeaderTerm.cpp
@@ -350,9 +350,6 @@
         [self = shared_from_this(), order, sentAt](const Dispatch::poll_order_reply& reply) {
             self->m_dispatcher.onPollReply(order, reply, sentAt, self->m_parts.timers.now());
             self->schedulePlan();
-            // The next poll of this worker may be due before the next tick.
-            if (!reply.ended.empty())
-                self->m_parts.timers.after(Dispatch::pollSpacing, [self] { self->schedulePlan(); });
         });
 }
 
--- a/Source/Core/Dispatch/DispatcherLeases.cpp
+++ b/Source/Core/Dispatch/DispatcherLeases.cpp
@@ -8,8 +8,6 @@
 
     /// Longest wait of a long poll while tasks run on the worker; a lease covers several of them.
     constexpr Common::millis pollWait { 500 };
-    /// Ends of a worker on which nothing runs are acknowledged with its next poll, but after this time at the latest.
-    constexpr Common::millis idleAcknowledgeDelay { 500 };
     /// Delay before an unanswered stop is sent again.
     constexpr Common::millis stopRetryInterval { 300 };
     /// Best-effort tasks are slowed down when the latency of a long-running task on the worker exceeds the first share
@@ -85,8 +83,7 @@
     for (auto& [id, worker] : m_workers) {
         if (worker.isPollInFlight || now < worker.nextPollAt || worker.entry.address.port == 0)
             continue;
-        const bool hasNewAcknowledgement
-            = worker.storedEnd > m_acknowledgedEnds[id] && now >= worker.endsSeenAt + idleAcknowledgeDelay;
+        const bool hasNewAcknowledgement = worker.storedEnd > m_acknowledgedEnds[id];
         const auto hasPhase = [&runs = worker.runs](run_phase phase) {
             return std::any_of(
                 runs.begin(), runs.end(), [phase](const auto& entry) { return entry.second.phase == phase; });
@@ -95,8 +92,6 @@
         if (worker.hasReported && !hasNewAcknowledgement && !hasPhase(run_phase::Running)
             && !hasPhase(run_phase::Stopping))
             continue;
-        if (now < worker.endsSeenAt + pollSpacing && !hasPhase(run_phase::Stopping))
-            continue;
         poll_order order { .worker = { worker.entry.id, worker.entry.address }, .acknowledgedEnd = worker.storedEnd };
         // An unresponsive worker gets no renewal, so that its leases expire.
         const bool isExtended = m_currentLease >= m_options.lease.minLease && worker.knowsClock()
--- a/Source/Core/Dispatch/DispatcherReplies.cpp
+++ b/Source/Core/Dispatch/DispatcherReplies.cpp
@@ -217,7 +217,6 @@
         if (end.number <= worker.seenEnd)
             continue;
         worker.seenEnd = end.number;
-        worker.endsSeenAt = now;
         handleEnd(worker, end, now);
     }
     if (worker.seenEnd > worker.storedEnd)
--- a/Source/Core/Dispatch/WorkerState.h
+++ b/Source/Core/Dispatch/WorkerState.h
@@ -56,8 +56,6 @@
     bool isPollInFlight { false };
     Common::instant firstSeenAt;
     Common::instant nextPollAt;
-    /// When it last reported ends that weren't known.
-    Common::instant endsSeenAt;
     Common::instant suspectedUntil;
     /// Nothing that this leader or an earlier one ordered there runs after this time.
     Common::instant leaseExpiryBound;
@@ -100,9 +98,6 @@
     Jobs::resources m_used;
 };
 
-/// Shortest time from an answer that lists new ends to the next poll, so that one poll returns several ends.
-inline constexpr Common::millis pollSpacing { 50 };
-
 /// Durations of the leases that a leader grants to runs on workers.
 struct lease_options {
     /// Granted with each start and each poll.
