--- a/Source/Core/Dispatch/WorkerState.h
+++ b/Source/Core/Dispatch/WorkerState.h
@@ -60,8 +60,6 @@
     Common::instant nextPollAt;
     /// When the last answer to a poll arrived.
     Common::instant reportedAt;
-    /// When it last reported ends that weren't known.
-    Common::instant endsSeenAt;
     Common::instant suspectedUntil;
     /// Nothing that this leader or an earlier one ordered there runs after this time.
     Common::instant leaseExpiryBound;
@@ -116,9 +114,6 @@
     Common::millicores m_bestEffortProcessor;
 };
 
-/// Shortest time from an answer that lists new ends to the next poll, so that one poll returns several ends.
-inline constexpr Common::millis pollSpacing { 50 };
-
 /// Durations of the leases that a leader grants to runs on workers.
 struct lease_options {
     /// Granted with each poll.
