Don't renew leases of a cancelled job's run before its stop is accepted

A run whose stop didn't get through was kept alive by the polls of its worker, which renew the leases of all its runs, so a task of a cancelled job could run on for as long as the stop kept failing.

While a stop of a finished or cancelled job isn't accepted by a worker, polls of that worker renew nothing. The other runs there keep the rest of their lease, which covers several tries of the stop; if all of them fail, they are lost with it. That is the price: one worker has one lease.

--- a/Source/Core/Dispatch/Dispatcher.h
+++ b/Source/Core/Dispatch/Dispatcher.h
@@ -202,6 +202,9 @@
     void inherit(open_job&, const Jobs::task_progress&, Common::instant now);
     void planStops(Common::instant now, dispatch_orders&);
     void updateCurrentLease(Common::instant now, const leadership_status&);
+    /// Whether a run of a finished or cancelled job has to be stopped and the worker hasn't accepted that. Its leases
+    /// aren't renewed: they last for several polls, so that nothing else is lost unless the stop keeps failing.
+    bool hasUnstoppedRuns(const worker_state&);
     void planPolls(Common::instant now, dispatch_orders&);
     void planPaces(dispatch_orders&);
 
--- a/Source/Core/Dispatch/DispatcherLeases.cpp
+++ b/Source/Core/Dispatch/DispatcherLeases.cpp
@@ -78,6 +78,17 @@
     }
 }
 
+bool dispatcher::hasUnstoppedRuns(const worker_state& worker)
+{
+    return std::any_of(worker.runs.begin(), worker.runs.end(), [this](const auto& entry) {
+        const auto& [name, run] = entry;
+        if (run.phase != run_phase::Stopping || !run.isSent || run.stopAcceptedAt)
+            return false;
+        const auto* job = findJob(name.job);
+        return !job || Jobs::isFinal(job->state);
+    });
+}
+
 void dispatcher::planPolls(Common::instant now, dispatch_orders& orders)
 {
     for (auto& [id, worker] : m_workers) {
@@ -95,7 +106,7 @@
         poll_order order { .worker = { worker.entry.id, worker.entry.address }, .acknowledgedEnd = worker.storedEnd };
         // An unresponsive worker gets no renewal, so that its leases expire.
         const bool isExtended = m_currentLease >= m_options.lease.minLease && worker.knowsClock()
-            && worker.unansweredPolls == 0 && !worker.runs.empty();
+            && worker.unansweredPolls == 0 && !worker.runs.empty() && !hasUnstoppedRuns(worker);
         if (isExtended)
             order.deadline = worker.grantLease(now, m_currentLease);
         if (isExtended && !hasPhase(run_phase::Stopping))
--- a/Source/UnitTests/Core/Dispatch/DispatcherTest.cpp
+++ b/Source/UnitTests/Core/Dispatch/DispatcherTest.cpp
@@ -395,3 +395,39 @@
     f.dispatcher.limitStarts({ .room = 1 });
     CHECK(f.plan().starts.size() == 4);
 }
+
+TEST_CASE("The lease of a cancelled job's run isn't renewed before its stop is accepted", "[dispatch]")
+{
+    dispatcher_fixture f;
+    f.join(f.worker("w1"));
+    f.add(f.job("j", { f.step(1) }));
+    f.add(f.job("other", { f.step(1) }));
+    const auto starts = f.plan().starts;
+    REQUIRE(starts.size() == 2);
+    for (const auto& order : starts)
+        f.accept(order);
+    const std::vector<Dispatch::listed_run> running { f.listed(starts[0]), f.listed(starts[1]) };
+    auto poll = f.nextPoll();
+    REQUIRE(poll);
+    CHECK(poll->deadline);
+    f.dispatcher.cancelJob({ "j" });
+    const auto stops = f.plan().stops;
+    REQUIRE(stops.size() == 1);
+    f.answerPoll(*poll, running);
+
+    SECTION("while the stop isn't answered")
+    {
+        poll = f.nextPoll();
+        REQUIRE(poll);
+        CHECK_FALSE(poll->deadline);
+    }
+    SECTION("but renewed again once the worker has accepted it")
+    {
+        auto accepted = f.done();
+        accepted.outcome = order_outcome::Done;
+        f.dispatcher.onStop(stops[0], accepted, f.now);
+        poll = f.nextPoll();
+        REQUIRE(poll);
+        CHECK(poll->deadline);
+    }
+}
