--- a/Source/Core/ControlPlane/EntryNodeSettings.h
+++ b/Source/Core/ControlPlane/EntryNodeSettings.h
@@ -20,6 +20,7 @@
     Common::endpoint store;
     /// Instance manager; empty when there is none.
     std::optional<Common::endpoint> instanceManager;
+    /// What the process can use; decides how soon it claims leadership.
     instance_capacity capacity;
     /// Time from the stop signal to the end of the process.
     Common::millis stopGrace { 6000 };
