Only a read that began after a refresh confirms it while pages are loaded

Cause: the newest records come in pages, and the view counted as confirmed as of the start of the last page. A job that was accepted after the page that would hold its key had been read was missing from it. On a small link there are seconds between the pages. Change: loading confirms the view as of the start of the first page, and the next read, which is sent at once when somebody waits, confirms the rest.

--- a/Source/Core/Records/PartitionReader.cpp
+++ b/Source/Core/Records/PartitionReader.cpp
@@ -89,8 +89,10 @@
         m_timers.after(retryDelay, [self = shared_from_this()] { self->readPage(); });
         return;
     }
-    if (!m_newestEnd)
+    if (!m_newestEnd) {
         m_newestEnd = page.end;
+        m_newestBegan = began;
+    }
     m_newest.insert(m_newest.end(), page.records.begin(), page.records.end());
     if (page.hasMore && !page.records.empty()) {
         readPage();
@@ -107,9 +109,11 @@
     m_wasSilent = false;
     m_mayRequestAgain = true;
     m_isLoaded = true;
-    confirm(began);
+    // Records that came after the first page may belong to pages that had been read, so only the next read confirms them.
+    confirm(m_newestBegan);
     m_sink.batchApplied();
     readNext();
+    readForBarriers();
 }
 
 void partition_reader::readNext()
--- a/Source/Core/Records/PartitionReader.h
+++ b/Source/Core/Records/PartitionReader.h
@@ -90,7 +90,9 @@
     std::vector<keyed_record> m_newest;
     /// Batches that were stored after records that are still to be read, by the offset of their first record.
     std::map<Common::log_offset, std::vector<keyed_record>> m_storedAhead;
+    /// End of the partition, and start of the read, of the first page.
     std::optional<Common::log_offset> m_newestEnd;
+    Common::instant m_newestBegan;
     /// Timeout of the next page, and limit of the next read.
     Common::millis m_pageTimeout;
     std::size_t m_maxBytes;
--- a/Source/UnitTests/Core/Records/PartitionReaderTest.cpp
+++ b/Source/UnitTests/Core/Records/PartitionReaderTest.cpp
@@ -204,3 +204,22 @@
     s.timers.advance(Common::millis(3500));
     CHECK(s.reader->isLoaded());
 }
+
+// An instance that had just started answered that an accepted job doesn't exist.
+TEST_CASE("Records that come while pages are read are applied before a refresh is confirmed", "[records]")
+{
+    reader_fixture s;
+    s.store.pageSize = 1;
+    for (const auto* key : { "b", "c", "d", "e" })
+        s.store.put(s.topic, key, "1");
+    s.reader->start();
+    s.timers.advance(Common::millis(5));
+    // The page that would hold it has been read.
+    s.store.put(s.topic, "a", "1");
+    std::optional<bool> wasKnown;
+    s.reader->refresh(Common::millis(1000),
+        [&wasKnown, &s](bool isRead) { wasKnown = isRead && s.sink.values.contains("a"); });
+    s.timers.advance(Common::millis(100));
+    REQUIRE(wasKnown.has_value());
+    CHECK(*wasKnown);
+}
