An instance that can't start a term leaves leadership to others

Found by review. Callers would have seen nothing started for as long as it lasted: a large instance that couldn't read the workers or one partition of the jobs took leadership from a small one by handover, ended its term after 2 s, and claimed again, first each time because it has more room. Of 30 s, 1.6 s had a dispatching leader; the same when nobody could read one partition, although the small leader could have gone on.

Change: a candidate reads the workers and the jobs before it asks for a handover. An instance whose term couldn't be started makes no claim and no request for 2 s, 4 s after the next (`claim_deferred` with `term_abandoned`).

--- a/Source/Core/ControlPlane/LeaderElection.cpp
+++ b/Source/Core/ControlPlane/LeaderElection.cpp
@@ -33,6 +33,8 @@
             return "workers_not_read";
         case term_obstacle::JobsNotRead:
             return "jobs_not_read";
+        case term_obstacle::TermAbandoned:
+            return "term_abandoned";
         case term_obstacle::None:
             break;
         }
--- a/Source/Core/ControlPlane/LeaderElection.h
+++ b/Source/Core/ControlPlane/LeaderElection.h
@@ -22,7 +22,9 @@
     None,
     NoRules,
     WorkersNotRead,
-    JobsNotRead
+    JobsNotRead,
+    /// The last term had to be ended before it started; others may be able to lead.
+    TermAbandoned
 };
 
 /// A term won by a claim.
--- a/Source/Core/ControlPlane/LeadershipManager.cpp
+++ b/Source/Core/ControlPlane/LeadershipManager.cpp
@@ -18,6 +18,8 @@
     constexpr Common::millis releasePollInterval { 20 };
     constexpr Common::millis handoverCheckInterval { 100 };
     constexpr Common::millis handoverRequestTimeout { 300 };
+    /// Longest time without claims after terms that couldn't be started.
+    constexpr Common::millis maxClaimBackoff { 4000 };
     /// A leader that can't hand over yet tries again for this long after a request. Longer than the instance manager
     /// takes to answer an order.
     constexpr Common::millis handoverRequestLifetime { 2000 };
@@ -52,6 +54,8 @@
 
 term_obstacle leadership_manager::findObstacle() const
 {
+    if (m_parts.timers.now() < m_claimsFrom)
+        return term_obstacle::TermAbandoned;
     if (!m_rules)
         return term_obstacle::NoRules;
     if (!m_parts.workerList.isLoaded())
@@ -101,12 +105,20 @@
         if (areWorkersRead && isRead && isConfirmed && m_rules)
             startDispatching(*term);
         else
-            endTerm();
+            abandonTerm();
     });
 }
 
+void leadership_manager::abandonTerm()
+{
+    m_claimsFrom = m_parts.timers.now() + m_claimBackoff;
+    m_claimBackoff = std::min(2 * m_claimBackoff, maxClaimBackoff);
+    endTerm();
+}
+
 void leadership_manager::startDispatching(leader_term& term)
 {
+    m_claimBackoff = minClaimBackoff;
     term.setRules(*m_rules);
     term.setEvacuated(m_evacuated);
     term.setWaves(m_waves);
@@ -170,12 +182,25 @@
         .newestRequest = newest && newest->claim == claim.number ? std::optional(newest->offset) : std::nullopt };
     if (!m_handoverCandidate.isRequestDue(view, m_parts.timers.now()))
         return;
+    // A successor that can't read the workers and jobs would have to end its term at once.
+    m_parts.workerList.refresh(handoverRequestTimeout, [this, number = claim.number](bool areWorkersRead) {
+        m_parts.intake.refresh(handoverRequestTimeout, [this, number, areWorkersRead](bool areJobsRead) {
+            if (areWorkersRead && areJobsRead && !m_term && m_parts.progressFeed.claim().number == number)
+                sendHandoverRequest(number);
+        });
+    });
+}
+
+void leadership_manager::sendHandoverRequest(std::int64_t number)
+{
+    const auto& claim = m_parts.progressFeed.claim();
     Common::writeEvent(Common::log_level::Info, Common::log_category::Membership, "handover_requested",
-        { { "number", std::to_string(claim.number) }, { "leader", claim.member },
-            { "leader_room", std::to_string(view.leader.value) }, { "room", std::to_string(view.own.value) } });
+        { { "number", std::to_string(number) }, { "leader", claim.member },
+            { "leader_room", std::to_string(roomOf(claim.capacity).value) },
+            { "room", std::to_string(roomOf(m_options.capacity).value) } });
     const Records::append_request request { .partition = m_options.handoverTopic,
         .records = { handoverRecord(
-            { .member = m_options.member, .claim = claim.number, .capacity = m_options.capacity, .offset = {} }) } };
+            { .member = m_options.member, .claim = number, .capacity = m_options.capacity, .offset = {} }) } };
     m_parts.store.append(request, handoverRequestTimeout, [](const auto&) {});
 }
 
--- a/Source/Core/ControlPlane/LeadershipManager.h
+++ b/Source/Core/ControlPlane/LeadershipManager.h
@@ -61,6 +61,8 @@
     static constexpr Common::millis standbyIntakeInterval { 900 };
 
 private:
+    static constexpr Common::millis minClaimBackoff { 2000 };
+
     struct registered_worker {
         Dispatch::worker_entry entry;
         Common::instant seenAt;
@@ -70,11 +72,14 @@
     void onElected(const won_election&);
     void readJobs(const std::shared_ptr<leader_term>&, bool areWorkersRead);
     void startDispatching(leader_term&);
+    /// Ends a term that couldn't be started, and makes no claim for some time, so that others can lead.
+    void abandonTerm();
     /// Ends the term, if any, and releases it when the log has all placements.
     void endTerm(const std::string& successor = {});
     void release(const std::shared_ptr<leader_term>&, const std::string& successor, Common::instant until);
     void watchHandovers();
     void considerRequestingHandover();
+    void sendHandoverRequest(std::int64_t claim);
     void considerHandingOver();
     handover_leader handoverState() const;
     void refuseHandover(const handover_request&, handover_answer) const;
@@ -82,6 +87,10 @@
     leadership_parts m_parts;
     leadership_options m_options;
     std::shared_ptr<leader_election> m_election;
+    /// No claim is made before this.
+    Common::instant m_claimsFrom;
+    /// Back-off after the next term that can't be started.
+    Common::millis m_claimBackoff { minClaimBackoff };
     std::shared_ptr<leader_term> m_term;
     Common::instant m_termBegan;
     handover_candidate m_handoverCandidate;
--- a/Source/UnitTests/Core/ControlPlane/LeadershipHandoverTest.cpp
+++ b/Source/UnitTests/Core/ControlPlane/LeadershipHandoverTest.cpp
@@ -253,3 +253,55 @@
     s.timers.advance(Common::millis(1000));
     CHECK(s.claimers() == member_list { "small", "next", "large" });
 }
+
+// A large instance that couldn't read the jobs took leadership by handover and claimed it again after each failed term.
+TEST_CASE("Leadership stays with a small instance while the large one can't start a term", "[station]")
+{
+    handover_fixture s;
+    const auto dispatchTime = [&s](const std::vector<leadership_fixture::instance*>& all) {
+        const auto until = s.timers.now() + std::chrono::seconds(30);
+        Common::millis time { 0 };
+        while (s.timers.now() < until) {
+            s.timers.advance(stepTime);
+            const bool isLed = std::any_of(all.begin(), all.end(), [](const auto* each) {
+                const auto* load = each->manager->load();
+                return load && load->interval.count() > 0;
+            });
+            time += isLed ? stepTime : Common::millis(0);
+        }
+        return time;
+    };
+    const auto large = s.add("large", largeCapacity);
+    s.timers.advance(Common::millis(500));
+    constexpr Common::millis leastDispatchTime { 25000 };
+
+    SECTION("because it can't read the jobs")
+    {
+        large->unreadablePartition = Records::topic_partition { "keyed.intake", 0 };
+        CHECK(dispatchTime({ s.small.get(), large.get() }) > leastDispatchTime);
+    }
+    SECTION("because it can't read the workers")
+    {
+        large->unreadablePartition = Records::topic_partition { "keyed.workers", 0 };
+        CHECK(dispatchTime({ s.small.get(), large.get() }) > leastDispatchTime);
+    }
+    SECTION("because nobody can read the jobs")
+    {
+        s.store.silentPartitions.insert({ "keyed.intake", 0 });
+        CHECK(dispatchTime({ s.small.get(), large.get() }) > leastDispatchTime);
+    }
+}
+
+TEST_CASE("After a failed leader, an instance that can't start a term leaves leadership to others", "[station]")
+{
+    handover_fixture s;
+    const auto other = s.add("other", smallCapacity);
+    const auto large = s.add("large", largeCapacity);
+    s.timers.advance(Common::millis(1000));
+    large->unreadablePartition = Records::topic_partition { "keyed.workers", 0 };
+    s.small->kill();
+    s.timers.advance(Common::millis(8000));
+    CHECK(other->manager->load() != nullptr);
+    s.timers.advance(Common::millis(20000));
+    CHECK(other->manager->load() != nullptr);
+}
