Progress records with impossible task indexes are rejected

Found by review: a damaged record of progress with one range of 1,000,000 tasks took the process to 115 MB, where small instances have 160 MB, and would have returned after each restart; an index above 32 bits marked another task as done. Indexes must now be below the largest step, and a record can't have more tasks than the largest job. The limits of a job are defined once, in Jobs.

--- a/Source/Core/Jobs/Job.h
+++ b/Source/Core/Jobs/Job.h
@@ -10,6 +10,9 @@
 /// Jobs as clients submit them, and their progress.
 namespace Jobs {
 
+inline constexpr int maxStepsPerJob = 64;
+inline constexpr int maxTasksPerStep = 4000;
+
 /// A step of a job: identical tasks that may run at the same time.
 struct step_spec {
     int count { 1 };
--- a/Source/Core/Jobs/JobCodec.cpp
+++ b/Source/Core/Jobs/JobCodec.cpp
@@ -66,8 +66,8 @@
 
     /// Position of a worker in a progress record for a task that isn't placed.
     constexpr std::int64_t noWorker = -1;
-    /// More tasks than a range of a valid record has.
-    constexpr std::int64_t maxRangeLength = 1000000;
+
+    constexpr std::size_t maxTasks = static_cast<std::size_t>(maxStepsPerJob) * maxTasksPerStep;
 
     /// Writes tasks by step, in their order. Of a step, a number is the index of a task that is done, two numbers are
     /// the first and the last index of a range of them, and a longer row is a task with its state. Workers are written
@@ -148,16 +148,23 @@
         std::optional<std::int64_t> m_runBase;
     };
 
+    int indexFromJson(const json& number)
+    {
+        const auto index = number.get<std::int64_t>();
+        if (index < 0 || index >= maxTasksPerStep)
+            throw json::other_error::create(Common::jsonOtherError, "invalid index of a task", nullptr);
+        return static_cast<int>(index);
+    }
+
+    /// Damaged ranges mustn't take more memory than the largest job.
     void rangeFromJson(const json& row, task_progress task, std::vector<task_progress>& tasks)
     {
-        const auto first = row.at(0).get<std::int64_t>();
-        const auto last = row.at(1).get<std::int64_t>();
-        if (last < first || last - first >= maxRangeLength)
+        const int first = indexFromJson(row.at(0));
+        const int last = indexFromJson(row.at(1));
+        if (last < first || tasks.size() + static_cast<std::size_t>(last - first) >= maxTasks)
             throw json::other_error::create(Common::jsonOtherError, "invalid range of tasks", nullptr);
-        for (auto index = first; index <= last; ++index) {
-            task.index = static_cast<int>(index);
+        for (task.index = first; task.index <= last; ++task.index)
             tasks.push_back(task);
-        }
     }
 
     void rowFromJson(const json& row, const json& record, task_progress task, std::vector<task_progress>& tasks)
@@ -168,7 +175,7 @@
             rangeFromJson(row, task, tasks);
             return;
         }
-        task.index = (task.isDone ? row : row.at(0)).get<int>();
+        task.index = indexFromJson(task.isDone ? row : row.at(0));
         if (!task.isDone) {
             const auto position = row.at(1).get<std::int64_t>();
             if (position != noWorker)
