--- a/Source/Core/ControlPlane/LeaderCapacity.cpp
+++ b/Source/Core/ControlPlane/LeaderCapacity.cpp
@@ -6,7 +6,7 @@
 
 namespace {
 
-    /// A leader with this much is limited by neither.
+    /// Candidates with at least this much are alike.
     constexpr Common::millicores sufficientProcessor { 500 };
     constexpr megabits_per_second sufficientLink { 100 };
     constexpr leader_room sufficientRoom { 1000 };
