A refresh of a leader's view doesn't keep its reader alive

A refresh that was still open at the end held the view, which owns the reader, which held the refresh. It now holds the view weakly. The tests of terms, overload and the explorer under ASan: no leak.

--- a/Source/Core/ControlPlane/ViewMonitor.cpp
+++ b/Source/Core/ControlPlane/ViewMonitor.cpp
@@ -59,9 +59,12 @@
         if (view->isRefreshing || !viewAge || *viewAge < refreshAge)
             continue;
         view->isRefreshing = true;
-        view->reader->refresh(refreshTimeout, [view, onRead](bool isRead) {
-            view->isRefreshing = false;
-            view->isUnanswered = !isRead;
+        // The view owns the reader, which keeps this until it has read.
+        view->reader->refresh(refreshTimeout, [refreshed = std::weak_ptr(view), onRead](bool isRead) {
+            if (const auto current = refreshed.lock()) {
+                current->isRefreshing = false;
+                current->isUnanswered = !isRead;
+            }
             onRead();
         });
     }
