--- a/Source/Core/ControlPlane/LeaderTerm.cpp
+++ b/Source/Core/ControlPlane/LeaderTerm.cpp
@@ -1,6 +1,7 @@
 #include "ControlPlane/LeaderTerm.h"
 
 #include "Common/Logging.h"
+#include "ControlPlane/DispatchLog.h"
 #include "ControlPlane/JobFeeds.h"
 
 #include <algorithm>
@@ -34,97 +35,6 @@
     /// Run numbers that one term may use for a task.
     constexpr std::int64_t runsPerTerm = 1000;
 
-    const char* toText(Dispatch::dispatch_event_kind kind)
-    {
-        using enum Dispatch::dispatch_event_kind;
-        switch (kind) {
-        case Adopted:
-            return "run_adopted";
-        case Started:
-            return "started";
-        case StartRefused:
-            return "start_refused";
-        case StartOutcomeUnknown:
-            return "start_unsettled";
-        case StopOrdered:
-            return "stop_ordered";
-        case Ended:
-            return "ended";
-        case RunMissing:
-            return "run_vanished";
-        case Stalled:
-            return "run_stalled";
-        case WorkerUnresponsive:
-            return "worker_silent";
-        case WorkerLeaseExpired:
-            return "worker_lapsed";
-        case WorkerRestarted:
-            return "worker_reborn";
-        case WorkerSuspected:
-            return "worker_distrusted";
-        case JobFinished:
-            return "job_over";
-        case Fenced:
-            break;
-        }
-        return "fenced";
-    }
-
-    const char* toText(Dispatch::order_outcome outcome)
-    {
-        using enum Dispatch::order_outcome;
-        switch (outcome) {
-        case Done:
-            return "done";
-        case Dispatch::order_outcome::Fenced:
-            return "fenced";
-        case StaleRun:
-            return "old_run";
-        case DeadlinePassed:
-            return "late";
-        case NoRoom:
-            return "no_room";
-        case NoTicket:
-            return "no_ticket";
-        case OtherIncarnation:
-            return "other_life";
-        case Unhealthy:
-            return "unhealthy";
-        case Invalid:
-            return "invalid";
-        case NotSent:
-            return "not_sent";
-        case NoAnswer:
-            break;
-        }
-        return "no_answer";
-    }
-
-    const char* toText(Dispatch::end_kind kind)
-    {
-        using enum Dispatch::end_kind;
-        switch (kind) {
-        case Done:
-            return "done";
-        case Failed:
-            return "failed";
-        case Stopped:
-            return "stopped";
-        case LeaseExpired:
-            return "lapsed";
-        case GangMemberEnded:
-            return "broken";
-        case GangIncomplete:
-            break;
-        }
-        return "alone";
-    }
-
-    std::string taskText(const Jobs::task_name& task)
-    {
-        return std::to_string(task.occurrence) + '.' + std::to_string(task.step) + '.' + std::to_string(task.index);
-    }
-
 }
 
 leader_term::leader_term(
@@ -486,20 +396,7 @@
 void leader_term::observe(const Dispatch::dispatch_event& event)
 {
     m_parts.eventCounters.add(toText(event.kind));
-    const bool isWarning = event.kind == Dispatch::dispatch_event_kind::StartRefused
-        || event.kind == Dispatch::dispatch_event_kind::RunMissing
-        || event.kind == Dispatch::dispatch_event_kind::WorkerLeaseExpired;
-    std::string detail;
-    if (event.outcome)
-        detail = toText(*event.outcome);
-    else if (event.end)
-        detail = toText(*event.end);
-    else if (event.state)
-        detail = std::to_string(static_cast<int>(*event.state));
-    Common::writeEvent(isWarning ? Common::log_level::Warning : Common::log_level::Info, Common::log_category::Dispatch,
-        toText(event.kind),
-        { { "job", event.task.job.value }, { "task", taskText(event.task) }, { "worker", event.worker.value },
-            { "run", std::to_string(event.run.value) }, { "detail", detail } });
+    report(event);
 }
 
 }
