What a refresh has read is in force before it is confirmed

Cause, found by reading: a read confirmed the refreshes that waited for it before its records were put in force, so a call that was to be answered by the newest rules was answered by those before. Change: records are put in force first, for reads and for pages.

--- a/Source/Core/Records/PartitionReader.cpp
+++ b/Source/Core/Records/PartitionReader.cpp
@@ -109,9 +109,9 @@
     m_wasSilent = false;
     m_mayRequestAgain = true;
     m_isLoaded = true;
+    m_sink.batchApplied();
     // Records that came after the first page may belong to pages that had been read, so only the next read confirms them.
     confirm(m_newestBegan);
-    m_sink.batchApplied();
     readNext();
     readForBarriers();
 }
@@ -140,10 +140,10 @@
     }
     const bool hasNewRecords = result.next > m_next;
     applyAll(result);
-    if (m_next >= result.end)
-        confirm(began);
     if (hasNewRecords)
         m_sink.batchApplied();
+    if (m_next >= result.end)
+        confirm(began);
     if (!isLoop)
         return;
     if (m_next < result.end)
--- a/Source/UnitTests/Core/Records/PartitionReaderTest.cpp
+++ b/Source/UnitTests/Core/Records/PartitionReaderTest.cpp
@@ -16,10 +16,13 @@
         ++applied;
         values[record.key] = record.value;
     }
+    void batchApplied() override { inForce = values; }
 
     int restarts { 0 };
     int applied { 0 };
     std::map<std::string, std::string> values;
+    /// What users of the sink see.
+    std::map<std::string, std::string> inForce;
 };
 
 struct reader_fixture {
@@ -223,3 +226,31 @@
     REQUIRE(wasKnown.has_value());
     CHECK(*wasKnown);
 }
+
+// An instance answered by rules that the refresh before its answer had already replaced.
+TEST_CASE("What a refresh has read is in force when it is confirmed", "[records]")
+{
+    reader_fixture s;
+    std::optional<bool> wasInForce;
+    const auto refresh = [&s, &wasInForce] {
+        s.reader->refresh(Common::millis(500),
+            [&s, &wasInForce](bool isRead) { wasInForce = isRead && s.sink.inForce.contains("a"); });
+    };
+
+    SECTION("after a read")
+    {
+        s.reader->start();
+        s.timers.advance(Common::millis(50));
+        s.store.put(s.topic, "a", "1");
+        refresh();
+    }
+    SECTION("after the first pages")
+    {
+        s.store.put(s.topic, "a", "1");
+        refresh();
+        s.reader->start();
+    }
+    s.timers.advance(Common::millis(50));
+    REQUIRE(wasInForce.has_value());
+    CHECK(*wasInForce);
+}
