--- a/Source/Bench/Calls.cpp
+++ b/Source/Bench/Calls.cpp
@@ -197,12 +197,12 @@
     {
         Common::writeEvent(Common::log_level::Info, Common::log_category::Dispatch, "task_started",
             { { "job", "5c0e7a21d94b36f8" }, { "task", "5c0e7a21d94b36f8.0.1." + std::to_string(number) },
-                { "worker", "worker-sul-jlle-17" }, { "run", std::to_string(number) }, { "detail", "" } });
+                { "worker", "worker-17" }, { "run", std::to_string(number) }, { "detail", "" } });
     }
 
     void measureLines(int lines)
     {
-        Common::startLogging(Common::log_level::Info, "front-sul-jlle-1");
+        Common::startLogging(Common::log_level::Info, "instance-1");
         const double ownBefore = threadMicros();
         const double allBefore = processMicros();
         for (int number = 0; number < lines; ++number) {
