Log what a start was based on, and why a run is stopped

New lines: start_permission (a change of whether starts are sent while some wait, with the ages of the views), cancellation_read, dispatch_began with the numbers of open and cancelled jobs. started and start_refused have answered_ms, stop_ordered its reason.

--- a/Source/Core/ControlPlane/DispatchLog.cpp
+++ b/Source/Core/ControlPlane/DispatchLog.cpp
@@ -56,6 +56,26 @@
         return "alone";
     }
 
+    const char* toText(Dispatch::stop_reason reason)
+    {
+        using enum Dispatch::stop_reason;
+        switch (reason) {
+        case JobFinished:
+            return "job_over";
+        case StartUnanswered:
+            return "start_unanswered";
+        case Stalled:
+            return "stalled";
+        case TaskDone:
+            return "task_done";
+        case NotWanted:
+            return "not_wanted";
+        case Evicted:
+            break;
+        }
+        return "evicted";
+    }
+
     std::string taskText(const Jobs::task_name& task)
     {
         return std::to_string(task.occurrence) + '.' + std::to_string(task.step) + '.' + std::to_string(task.index);
@@ -109,12 +129,22 @@
         detail = toText(*event.outcome);
     else if (event.end)
         detail = toText(*event.end);
+    else if (event.stop)
+        detail = toText(*event.stop);
     else if (event.state)
         detail = std::to_string(static_cast<int>(*event.state));
-    Common::writeEvent(isWarning ? Common::log_level::Warning : Common::log_level::Info, Common::log_category::Dispatch,
-        toText(event.kind),
-        { { "job", event.task.job.value }, { "task", taskText(event.task) }, { "worker", event.worker.value },
-            { "run", std::to_string(event.run.value) }, { "detail", detail } });
+    const auto level = isWarning ? Common::log_level::Warning : Common::log_level::Info;
+    const auto task = taskText(event.task);
+    const auto run = std::to_string(event.run.value);
+    if (event.answeredAfter) {
+        Common::writeEvent(level, Common::log_category::Dispatch, toText(event.kind),
+            { { "job", event.task.job.value }, { "task", task }, { "worker", event.worker.value }, { "run", run },
+                { "detail", detail }, { "answered_ms", std::to_string(event.answeredAfter->count()) } });
+        return;
+    }
+    Common::writeEvent(level, Common::log_category::Dispatch, toText(event.kind),
+        { { "job", event.task.job.value }, { "task", task }, { "worker", event.worker.value }, { "run", run },
+            { "detail", detail } });
 }
 
 }
--- a/Source/Core/ControlPlane/LeaderTerm.cpp
+++ b/Source/Core/ControlPlane/LeaderTerm.cpp
@@ -5,6 +5,7 @@
 #include "ControlPlane/JobFeeds.h"
 
 #include <algorithm>
+#include <utility>
 
 namespace ControlPlane {
 
@@ -82,11 +83,16 @@
 {
     m_isStarted = true;
     const auto now = m_parts.timers.now();
-    for (const auto& id : m_parts.jobRegistry.openJobs()) {
+    const auto openJobs = m_parts.jobRegistry.openJobs();
+    const auto cancelledJobs = m_parts.jobRegistry.cancelledJobs();
+    Common::writeEvent(Common::log_level::Info, Common::log_category::Dispatch, "dispatch_began",
+        { { "number", std::to_string(m_options.number) }, { "open_jobs", std::to_string(openJobs.size()) },
+            { "cancelled_jobs", std::to_string(cancelledJobs.size()) } });
+    for (const auto& id : openJobs) {
         const auto* job = m_parts.jobRegistry.find(id);
         m_dispatcher.addJob(*job->record, job->progress, now);
     }
-    for (const auto& id : m_parts.jobRegistry.cancelledJobs()) {
+    for (const auto& id : cancelledJobs) {
         const auto* job = m_parts.jobRegistry.find(id);
         m_dispatcher.addJob(*job->record, job->progress, now);
         m_dispatcher.cancelJob(id);
@@ -166,6 +172,9 @@
 
 void leader_term::jobCancelled(const Common::job_id& id)
 {
+    if (m_dispatcher.hasJob(id))
+        Common::writeEvent(Common::log_level::Info, Common::log_category::Dispatch, "cancellation_read",
+            { { "job", id.value }, { "number", std::to_string(m_options.number) } });
     m_dispatcher.cancelJob(id);
     schedulePlan();
 }
@@ -256,7 +265,9 @@
     if (m_capacity)
         m_capacity->plan(!m_areInstanceOrdersPaused && leadership.isConfirmed(m_parts.timers.now()));
     const bool isStoreUnresponsive = leadership.isStoreUnresponsive || !leadership.isConfirmed(m_parts.timers.now());
-    m_dispatcher.limitStarts({ .room = startRoom(isStoreUnresponsive),
+    const auto permission = judgeStarts(isStoreUnresponsive);
+    noteStartPermission(permission);
+    m_dispatcher.limitStarts({ .room = isGranted(permission) ? m_window.room() : 0,
         .plannedPerPool = std::max(minPlannedPerPool, plannedPerPlace * m_window.size()) });
     sendOrders(m_dispatcher.plan(m_parts.timers.now(), Common::wallNow(), leadership));
     if (m_dispatcher.awaitsPlacementLog())
@@ -268,15 +279,24 @@
         loseLeadership("fenced_by_worker");
 }
 
-int leader_term::startRoom(bool isStoreUnresponsive) const
+start_permission leader_term::judgeStarts(bool isStoreUnresponsive) const
 {
     // What the leader hasn't read yet may forbid the start.
     if (m_parts.health.load.isBehind())
-        return 0;
+        return start_permission::LoopBehind;
+    if (m_parts.health.views.areRecent(false))
+        return start_permission::Granted;
     // Without the store the rules of an outage hold: what can't be read doesn't hold back what was read before it.
     const bool mayLackAnswers = !m_window.isCongested();
     const bool mayUseViews = isStoreUnresponsive || m_parts.health.views.areRecent(mayLackAnswers);
-    return mayUseViews ? m_window.room() : 0;
+    return mayUseViews ? start_permission::GrantedWithoutStore : start_permission::ViewsOld;
+}
+
+void leader_term::noteStartPermission(start_permission permission)
+{
+    if (!m_dispatcher.awaitsPlacementLog() || std::exchange(m_loggedPermission, permission) == permission)
+        return;
+    report(permission, m_parts.health.views);
 }
 
 void leader_term::sendOrders(const Dispatch::dispatch_orders& orders)
--- a/Source/Core/ControlPlane/LeaderTerm.h
+++ b/Source/Core/ControlPlane/LeaderTerm.h
@@ -4,6 +4,7 @@
 #include "ControlPlane/Counters.h"
 #include "ControlPlane/LeaderElection.h"
 #include "ControlPlane/LeaderLoad.h"
+#include "ControlPlane/StartPermission.h"
 #include "Dispatch/Dispatcher.h"
 #include "Dispatch/StartWindow.h"
 #include "Dispatch/WorkerGateway.h"
@@ -86,8 +87,10 @@
     Common::millis restLeft() const;
     void planAfterRest();
     void planAndSend();
-    /// How many starts may be sent now.
-    int startRoom(bool isStoreUnresponsive) const;
+    /// Whether starts may be sent now, judged by what this leader has read.
+    start_permission judgeStarts(bool isStoreUnresponsive) const;
+    /// Writes a line when the judgement has changed while starts are waiting.
+    void noteStartPermission(start_permission);
     void sendOrders(const Dispatch::dispatch_orders&);
     void sendStart(const Dispatch::start_order&);
     void sendStop(const Dispatch::stop_order&);
@@ -115,6 +118,8 @@
     Common::instant m_connectionsCheckedAt;
     /// No planning pass begins before this.
     Common::instant m_restsUntil;
+    /// The judgement that was last logged.
+    start_permission m_loggedPermission { start_permission::Granted };
     bool m_areInstanceOrdersPaused { false };
     bool m_isPlanScheduled { false };
     bool m_isStarted { false };
--- a/Source/Core/Dispatch/Dispatcher.h
+++ b/Source/Core/Dispatch/Dispatcher.h
@@ -55,6 +55,21 @@
     Fenced
 };
 
+/// Why a run is stopped.
+enum class stop_reason {
+    /// The job is finished or cancelled.
+    JobFinished,
+    /// The start had no answer, so it is unknown whether the task runs.
+    StartUnanswered,
+    Stalled,
+    /// Another run of the task has succeeded.
+    TaskDone,
+    /// The worker reports a run that isn't wanted there.
+    NotWanted,
+    /// The worker is to be emptied.
+    Evicted
+};
+
 /// A decision of the dispatcher or a change that it noticed, for logs and counters.
 struct dispatch_event {
     dispatch_event_kind kind;
@@ -64,6 +79,9 @@
     std::optional<order_outcome> outcome;
     std::optional<end_kind> end;
     std::optional<Jobs::job_state> state;
+    std::optional<stop_reason> stop;
+    /// Time from the sending of a start to its answer.
+    std::optional<Common::millis> answeredAfter;
 };
 
 /// Parts of a planning pass.
@@ -249,7 +267,7 @@
     void dropRun(worker_state&, const Jobs::task_name&);
     /// Drops the run and returns the task to the waiting ones.
     void releaseRun(worker_state&, Jobs::task_name, Common::instant notBefore);
-    void orderStop(worker_state&, const Jobs::task_name&);
+    void orderStop(worker_state&, const Jobs::task_name&, stop_reason);
     void loseAllRuns(worker_state&, Common::instant now);
     /// Processes a reply's clock, fencing and incarnation. Null when the worker is gone or another incarnation replied.
     worker_state* acceptReply(const Common::worker_id&, const order_reply&, Common::instant now);
--- a/Source/Core/Dispatch/DispatcherReplies.cpp
+++ b/Source/Core/Dispatch/DispatcherReplies.cpp
@@ -59,13 +59,17 @@
         job->release(name, notBefore);
 }
 
-void dispatcher::orderStop(worker_state& worker, const Jobs::task_name& name)
+void dispatcher::orderStop(worker_state& worker, const Jobs::task_name& name, stop_reason reason)
 {
     auto& run = worker.runs.at(name);
     if (run.phase == run_phase::Stopping)
         return;
     worker.setPhase(run, run_phase::Stopping);
-    observe({ .kind = dispatch_event_kind::StopOrdered, .task = name, .worker = worker.entry.id, .run = run.run });
+    observe({ .kind = dispatch_event_kind::StopOrdered,
+        .task = name,
+        .worker = worker.entry.id,
+        .run = run.run,
+        .stop = reason });
 }
 
 void dispatcher::loseAllRuns(worker_state& worker, Common::instant now)
@@ -141,7 +145,8 @@
         .task = order.task,
         .worker = order.worker.id,
         .run = order.run,
-        .outcome = reply.outcome };
+        .outcome = reply.outcome,
+        .answeredAfter = Common::elapsed(run.startedAt, now) };
     if (reply.outcome == order_outcome::Done) {
         if (run.phase == run_phase::Starting)
             worker.setPhase(run, run_phase::Running);
@@ -160,7 +165,7 @@
         unanswered.kind = dispatch_event_kind::StartOutcomeUnknown;
         observe(unanswered);
         suspect(worker, now, noAnswerBackoff);
-        orderStop(worker, order.task);
+        orderStop(worker, order.task, stop_reason::StartUnanswered);
         return;
     }
     observe(event);
@@ -280,7 +285,7 @@
         // Stops another run of the task, which is no longer needed.
         const auto elsewhere = task && task->phase == task_phase::Placed ? m_workers.find(task->worker) : m_workers.end();
         if (elsewhere != m_workers.end() && !spec.isGang && elsewhere->second.runs.contains(name))
-            orderStop(elsewhere->second, name);
+            orderStop(elsewhere->second, name, stop_reason::TaskDone);
         job.finish(name);
     }
     m_dirty.insert(job.record().id.value);
@@ -349,7 +354,7 @@
     if (isWanted)
         adopt(worker, *job, listed);
     else
-        orderStop(worker, listed.task);
+        orderStop(worker, listed.task, stop_reason::NotWanted);
 }
 
 bool dispatcher::supersedesInherited(
@@ -400,7 +405,7 @@
         return;
     observe({ .kind = dispatch_event_kind::Stalled, .task = name, .worker = worker.entry.id, .run = run.run });
     suspect(worker, now, failureBackoff);
-    orderStop(worker, name);
+    orderStop(worker, name, stop_reason::Stalled);
 }
 
 void dispatcher::conclude(open_job& job, Jobs::job_state state)
@@ -424,7 +429,7 @@
         auto& worker = m_workers.at(workerId);
         auto run = worker.runs.lower_bound({ .job = id, .occurrence = least, .step = least, .index = least });
         for (; run != worker.runs.end() && run->first.job == id; ++run)
-            orderStop(worker, run->first);
+            orderStop(worker, run->first, stop_reason::JobFinished);
     }
 }
 
@@ -459,7 +464,7 @@
             continue;
         auto* job = findJob(name.job);
         if (!job || mayDisrupt(*job, name))
-            orderStop(worker, name);
+            orderStop(worker, name, stop_reason::Evicted);
     }
 }
 
