A leader with a full link doesn't start tasks on views it couldn't read

Cause: a start needs views of the store that are 0.7 s old at most, but two exceptions for a store that doesn't answer had no limit of age. A view whose read had no answer counted as recent unless the window of starts was at its smallest, which takes several reductions from 64; and while an append took over 0.2 s or leadership wasn't confirmed, no view was checked at all. A leader whose own link is full sees the same, while the store goes on acknowledging cancellations, drains and evacuations to others.

Change: unanswered reads excuse an old view only while workers answer quickly. If most orders of the last one to two seconds were slow too, the leader's own link may be the cause, and starts wait until the views are read. Slow appends excuse nothing by themselves: in an outage the refresh fails within 0.6 s, in a slow store it succeeds.

Test that failed before: a job is cancelled at another instance while the leader's link is full; its tasks began 3,512 ms after the acknowledgement, 4,266 ms with slow appends (limit 3,000).

--- a/Source/Core/ControlPlane/LeaderTerm.cpp
+++ b/Source/Core/ControlPlane/LeaderTerm.cpp
@@ -264,8 +264,7 @@
     // Plan instances first, so that a worker that is about to leave gets no more starts.
     if (m_capacity)
         m_capacity->plan(!m_areInstanceOrdersPaused && leadership.isConfirmed(m_parts.timers.now()));
-    const bool isStoreUnresponsive = leadership.isStoreUnresponsive || !leadership.isConfirmed(m_parts.timers.now());
-    const auto permission = judgeStarts(isStoreUnresponsive);
+    const auto permission = judgeStarts();
     noteStartPermission(permission);
     m_dispatcher.limitStarts({ .room = isGranted(permission) ? m_window.room() : 0,
         .plannedPerPool = std::max(minPlannedPerPool, plannedPerPlace * m_window.size()) });
@@ -279,17 +278,19 @@
         loseLeadership("fenced_by_worker");
 }
 
-start_permission leader_term::judgeStarts(bool isStoreUnresponsive) const
+start_permission leader_term::judgeStarts() const
 {
-    // What the leader hasn't read yet may forbid the start.
+    const auto& views = m_parts.health.views;
     if (m_parts.health.load.isBehind())
         return start_permission::LoopBehind;
-    if (m_parts.health.views.areRecent(false))
+    if (views.areRecent(unanswered_reads::CountAsOld))
         return start_permission::Granted;
-    // Without the store the rules of an outage hold: what can't be read doesn't hold back what was read before it.
-    const bool mayLackAnswers = !m_window.isCongested();
-    const bool mayUseViews = isStoreUnresponsive || m_parts.health.views.areRecent(mayLackAnswers);
-    return mayUseViews ? start_permission::GrantedWithoutStore : start_permission::ViewsOld;
+    // Reads also stay unanswered when this instance's own link is full. The store goes on with other instances then, and
+    // what it has acknowledged to them may forbid the start.
+    if (m_orders.areAnswersSlow(m_parts.timers.now()))
+        return start_permission::ViewsOld;
+    return views.areRecent(unanswered_reads::CountAsRecent) ? start_permission::GrantedWithoutStore
+                                                            : start_permission::ViewsOld;
 }
 
 void leader_term::noteStartPermission(start_permission permission)
@@ -369,7 +370,7 @@
     const auto time = Common::elapsed(sentAt + wait, m_parts.timers.now());
     const bool isAnswered = reply.outcome != Dispatch::order_outcome::NoAnswer
         && reply.outcome != Dispatch::order_outcome::NotSent;
-    m_orders.answered(kind, time, isAnswered);
+    m_orders.answered(kind, time, isAnswered, m_parts.timers.now());
     if (kind == order_kind::Start)
         m_window.startAnswered(time, m_parts.timers.now());
     else if (kind == order_kind::Stop)
--- a/Source/Core/ControlPlane/LeaderTerm.h
+++ b/Source/Core/ControlPlane/LeaderTerm.h
@@ -88,7 +88,7 @@
     void planAfterRest();
     void planAndSend();
     /// Whether starts may be sent now, judged by what this leader has read.
-    start_permission judgeStarts(bool isStoreUnresponsive) const;
+    start_permission judgeStarts() const;
     /// Writes a line when the judgement has changed while starts are waiting.
     void noteStartPermission(start_permission);
     void sendOrders(const Dispatch::dispatch_orders&);
--- a/Source/Core/ControlPlane/ViewMonitor.cpp
+++ b/Source/Core/ControlPlane/ViewMonitor.cpp
@@ -44,11 +44,12 @@
     return oldest;
 }
 
-bool view_monitor::areRecent(bool mayLackAnswers) const
+bool view_monitor::areRecent(unanswered_reads unanswered) const
 {
-    return std::all_of(m_views.begin(), m_views.end(), [this, mayLackAnswers](const auto& view) {
+    return std::all_of(m_views.begin(), m_views.end(), [this, unanswered](const auto& view) {
         const auto viewAge = ageOf(*view);
-        return (viewAge && *viewAge <= maxStartViewAge) || (mayLackAnswers && view->isUnanswered);
+        const bool isExempt = view->isUnanswered && unanswered == unanswered_reads::CountAsRecent;
+        return isExempt || (viewAge && *viewAge <= maxStartViewAge);
     });
 }
 
--- a/Source/Core/ControlPlane/ViewMonitor.h
+++ b/Source/Core/ControlPlane/ViewMonitor.h
@@ -13,6 +13,12 @@
     Rules
 };
 
+/// How a view counts whose last refresh had no answer.
+enum class unanswered_reads {
+    CountAsOld,
+    CountAsRecent
+};
+
 /// Tracks how old the leader's views are, and reads old ones again.
 class view_monitor {
 public:
@@ -25,9 +31,8 @@
     void refreshOld(const std::function<void()>& onRead);
     /// Age of the oldest view of this kind; empty if one hasn't been read yet.
     std::optional<Common::millis> age(view_kind) const;
-    /// Whether each view is recent enough for a start. With `mayLackAnswers`, a view that the store failed to answer
-    /// counts as recent.
-    bool areRecent(bool mayLackAnswers) const;
+    /// Whether each view is recent enough for a start.
+    bool areRecent(unanswered_reads) const;
 
 private:
     struct watched_view {
--- a/Source/Core/Dispatch/StartWindow.cpp
+++ b/Source/Core/Dispatch/StartWindow.cpp
@@ -21,8 +21,6 @@
 
 int start_window::room() const { return std::max(0, m_size - m_inFlight); }
 
-bool start_window::isCongested() const { return m_size <= minWindow; }
-
 void start_window::sent()
 {
     ++m_inFlight;
--- a/Source/Core/Dispatch/StartWindow.h
+++ b/Source/Core/Dispatch/StartWindow.h
@@ -13,8 +13,6 @@
     int room() const;
     int size() const { return m_size; }
     int inFlight() const { return m_inFlight; }
-    /// Whether the size is the smallest one, so that the leader's own processor or link is too slow.
-    bool isCongested() const;
     void sent();
     /// A start was answered, or given up, after `time`.
     void startAnswered(Common::millis time, Common::instant now);
--- a/Source/UnitTests/Core/ControlPlane/OverloadedLeaderTest.cpp
+++ b/Source/UnitTests/Core/ControlPlane/OverloadedLeaderTest.cpp
@@ -7,11 +7,14 @@
 
 const Records::topic_partition progressPartition { "keyed.progress", 0 };
 const Records::topic_partition workerPartition { "keyed.workers", 0 };
+const Records::topic_partition intakePartition { "keyed.intake", 0 };
 
 constexpr int workerCount = 60;
 constexpr int tasksPerWorker = 8;
 /// Longest time from the sending of a start to its beginning on the worker that the tests accept.
 constexpr Common::millis acceptedStartDelay { 1000 };
+/// The shortest time after the acknowledgement of a cancellation within which a task of the job may still start.
+constexpr Common::millis shortestCancelTime { 3000 };
 
 /// Workers behind a link that carries one order at a time. An order that is given up is carried out all the same.
 struct slow_link : Dispatch::worker_gateway {
@@ -107,6 +110,14 @@
         worker.running.erase(found);
     }
 
+    /// Ends one of the worker's tasks.
+    void endOne(const std::string& worker)
+    {
+        auto& model = workers[{ worker }];
+        if (!model.running.empty())
+            end(model, Jobs::task_name(model.running.begin()->first), Dispatch::end_kind::Done);
+    }
+
     void pace(const Dispatch::pace_order&, Dispatch::fencing_token, Common::millis, reply_handler) override { }
 
     void poll(const Dispatch::poll_order& order, Dispatch::fencing_token, Common::millis timeout,
@@ -171,8 +182,8 @@
     Records::keyed_record waveStatus(std::int64_t, bool) const override { return {}; }
 };
 
-/// The registrations of the workers; the value tells whether the worker drains.
-struct registration_feed : Records::record_sink {
+/// Passes records on. The value of a registration tells whether the worker drains.
+struct forwarding_feed : Records::record_sink {
     void reset() override { }
     void apply(const Records::keyed_record& record) override { onRecord(record); }
 
@@ -184,9 +195,12 @@
     overload_fixture()
     {
         registrations.onRecord = [this](const auto& record) { registered(record); };
+        intake.onRecord = [this](const auto& record) { readCancellation(record.key); };
         reader->start();
         workerReader->start();
+        intakeReader->start();
         views.add(ControlPlane::view_kind::Registrations, workerReader);
+        views.add(ControlPlane::view_kind::Intake, intakeReader);
         election->start([this](const ControlPlane::won_election& won) { onElected(won); });
         timers.advance(Common::millis(400));
         REQUIRE(term);
@@ -255,8 +269,21 @@
     void cancel(const std::string& id)
     {
         link.forbiddenSince[id] = timers.now();
+        readCancellation(id);
+    }
+
+    /// Another instance has acknowledged the cancellation; the leader has yet to read it.
+    void storeCancellation(const std::string& id)
+    {
+        link.forbiddenSince[id] = timers.now();
+        store.put(intakePartition, id, "cancelled");
+    }
+
+    void readCancellation(const std::string& id)
+    {
         jobRegistry.cancel({ id });
-        term->jobCancelled({ id });
+        if (term)
+            term->jobCancelled({ id });
     }
 
     /// The worker reports that it drains; the leader has yet to read that.
@@ -276,11 +303,14 @@
     ControlPlane::leader_health health { .load = load, .views = views };
     Jobs::job_registry jobRegistry;
     ControlPlane::progress_feed feed { jobRegistry };
-    registration_feed registrations;
+    forwarding_feed registrations;
+    forwarding_feed intake;
     std::shared_ptr<Records::partition_reader> reader = std::make_shared<Records::partition_reader>(store, timers,
         Records::partition_reader_options { .partition = progressPartition, .interval = Common::millis(50) }, feed);
     std::shared_ptr<Records::partition_reader> workerReader = std::make_shared<Records::partition_reader>(store, timers,
         Records::partition_reader_options { .partition = workerPartition, .interval = Common::millis(50) }, registrations);
+    std::shared_ptr<Records::partition_reader> intakeReader = std::make_shared<Records::partition_reader>(store, timers,
+        Records::partition_reader_options { .partition = intakePartition, .interval = Common::millis(50) }, intake);
     std::shared_ptr<ControlPlane::leader_election> election = std::make_shared<ControlPlane::leader_election>(store, timers,
         ControlPlane::election_options { .member = "m", .progressTopic = progressPartition, .writer = "holder" }, *reader, feed);
     std::shared_ptr<ControlPlane::leader_term> term;
@@ -382,3 +412,41 @@
     s.timers.advance(std::chrono::seconds(4));
     CHECK(s.link.begun == 0);
 }
+
+/// A leader whose link is full for 4 s: neither workers nor the store answer quickly. A job is cancelled meanwhile.
+TEST_CASE("A leader with a full link doesn't start a task of a job that was cancelled seconds ago", "[overload]")
+{
+    overload_fixture s;
+    // Keeps workers answering.
+    s.accept("running", 4);
+    s.store.unreadable.insert(intakePartition);
+    // A read that waits at the store is still answered.
+    s.timers.advance(Common::millis(1500));
+    s.storeCancellation("cancelled");
+    s.link.answerTime = Common::millis(500);
+    s.timers.advance(Common::millis(3500));
+
+    SECTION("whose cancellation it couldn't read")
+    {
+        s.accept("cancelled", 4);
+        s.timers.advance(Common::millis(1000));
+        CHECK(s.link.latestForbidden <= shortestCancelTime);
+    }
+    SECTION("nor while its appends are slow too")
+    {
+        s.store.delay = Common::millis(300);
+        s.timers.advance(Common::millis(300));
+        s.accept("cancelled", 4);
+        s.timers.advance(Common::millis(1000));
+        CHECK(s.link.latestForbidden <= shortestCancelTime);
+    }
+    SECTION("and starts go on once the link isn't full any more")
+    {
+        s.store.unreadable.clear();
+        s.link.answerTime = Common::millis(2);
+        s.accept("other", 4);
+        s.timers.advance(Common::millis(2000));
+        CHECK(s.link.running("other") == 4);
+        CHECK(s.link.latestForbidden == Common::millis(0));
+    }
+}
