A start begins 1.2 s after it was sent at the latest, also without the store

While an append was slow or leadership unconfirmed, a start could begin as long as the lease that it granted lasted, up to 9.5 s after it was sent instead of 1.2 s. On a full link it waits in the send queue for that long, and what was read meanwhile (a cancellation, a drain) can't take it back.

Every start now grants the short lease, and the poll after it the long one that lets tasks outlast a takeover.

--- a/Source/Core/Dispatch/DispatcherPlacements.cpp
+++ b/Source/Core/Dispatch/DispatcherPlacements.cpp
@@ -111,11 +111,7 @@
     }
 }
 
-Common::millis dispatcher::startLease() const
-{
-    // Without the store, tasks have to outlast a takeover.
-    return m_isDegraded ? m_currentLease : std::min(m_currentLease, m_options.lease.startLease);
-}
+Common::millis dispatcher::startLease() const { return std::min(m_currentLease, m_options.lease.startLease); }
 
 void dispatcher::sendStart(const placement& planned, Common::instant now, dispatch_orders& orders)
 {
--- a/Source/UnitTests/Core/ControlPlane/OverloadedLeaderTest.cpp
+++ b/Source/UnitTests/Core/ControlPlane/OverloadedLeaderTest.cpp
@@ -450,3 +450,19 @@
         CHECK(s.link.latestForbidden == Common::millis(0));
     }
 }
+
+TEST_CASE("A start that waits on a full link begins soon or not at all while the store doesn't answer", "[overload]")
+{
+    overload_fixture s;
+    constexpr int waiting = 30;
+    s.accept("large", workerCount * tasksPerWorker + waiting);
+    s.timers.advance(Common::millis(1000));
+    REQUIRE(s.link.begun == workerCount * tasksPerWorker);
+    s.store.silentPartitions.insert(progressPartition);
+    s.timers.advance(Common::millis(1000));
+    s.link.orderTime = Common::millis(20);
+    for (int number = 0; number < waiting; ++number)
+        s.link.endOne(overload_fixture::workerName(number));
+    s.timers.advance(std::chrono::seconds(4));
+    CHECK(s.link.slowestStart <= Dispatch::lease_options().startLease);
+}
