Requests still open at the end of the grace period are answered with 504

Callers of an instance that stopped while the store was slow saw their connection end without any response (LOST): requests that were still open 0.7 s before the end of the grace period were cut.

Cause: finishShutdown stopped the event loop at that moment, whatever was open.

Change: 0.3 s before that, all open requests are answered with 504 and Connection: close, as are those read later. The outcome isn't known, so callers repeat them under the same id. Later answers of the job API to these requests have no effect. The time for which the load balancer may send connections is a setting of entry_node, so that tests needn't wait.

--- a/Source/Core/ControlPlane/EntryNode.cpp
+++ b/Source/Core/ControlPlane/EntryNode.cpp
@@ -24,13 +24,13 @@
     constexpr Common::millis readyViewAge { 4000 };
     /// A submission is given up after this time, before its caller times out.
     constexpr Common::millis submitTimeout { 2300 };
-    /// The load balancer checks once a second and removes an instance after two failed checks.
-    constexpr Common::millis balancerRemovalTime { 2500 };
     constexpr Common::millis trafficReportInterval { 5000 };
     constexpr Common::millis shutdownPollInterval { 50 };
     constexpr Common::millis loadInterval { 200 };
     /// Part of the stop grace period that is reserved for the exit itself.
     constexpr Common::millis stopReserve { 700 };
+    /// Time before that in which the answers to requests that are still open are sent.
+    constexpr Common::millis lastAnswersTime { 300 };
 
 }
 
@@ -217,6 +217,8 @@
     respond({ .status = isReady() ? 200 : 503 });
 }
 
+std::uint16_t entry_node::callerPort() const { return m_callerListener->port(); }
+
 void entry_node::beginShutdown()
 {
     if (m_isShuttingDown)
@@ -231,11 +233,14 @@
 void entry_node::finishShutdown()
 {
     const auto now = m_timers->now();
-    const bool isOutOfRotation = now >= m_shutdownBegan + balancerRemovalTime;
+    const auto stopAt = m_shutdownBegan + m_settings.stopGrace - stopReserve;
+    const bool isOutOfRotation = now >= m_shutdownBegan + m_settings.balancerRemovalTime;
     if (isOutOfRotation)
         m_callerListener->drain();
+    if (now >= stopAt - lastAnswersTime)
+        answerOpenRequests();
     const bool isServed = isOutOfRotation && m_callerListener->openRequests() == 0;
-    if (isServed || now >= m_shutdownBegan + m_settings.stopGrace - stopReserve) {
+    if (isServed || now >= stopAt) {
         Common::writeEvent(Common::log_level::Info, Common::log_category::Daemon, "shut_down",
             { { "open_requests", std::to_string(m_callerListener->openRequests()) } });
         m_parts.loop.stop();
@@ -244,6 +249,18 @@
     m_timers->after(shutdownPollInterval, [this] { finishShutdown(); });
 }
 
+void entry_node::answerOpenRequests()
+{
+    if (std::exchange(m_areRequestsEnded, true))
+        return;
+    const auto count = m_callerListener->openRequests();
+    if (count > 0)
+        Common::writeEvent(Common::log_level::Warning, Common::log_category::Daemon, "open_requests_ended",
+            { { "open_requests", std::to_string(count) } });
+    // The outcome isn't known, so callers have to ask again with the same identifier.
+    m_callerListener->answerOpen({ .status = 504, .body = R"({"error":"stopping"})" });
+}
+
 void entry_node::rulesChanged(const Rules::fleet_rules& rules)
 {
     m_jobApi->setRules(rules);
--- a/Source/Core/ControlPlane/EntryNode.h
+++ b/Source/Core/ControlPlane/EntryNode.h
@@ -44,6 +44,8 @@
 
     /// False when an address can't be bound.
     bool start(Records::record_sink& operatorFeed, Records::record_sink& workerFeed);
+    /// The port at which callers are served, also when their address had port 0.
+    std::uint16_t callerPort() const;
     /// Planned shutdown: reports not ready, releases leadership, finishes open requests, then stops the loop.
     void beginShutdown();
 
@@ -67,6 +69,8 @@
     /// Writes a line for each kind of call since the last report, at regular intervals.
     void reportTraffic();
     void finishShutdown();
+    /// Answers the requests that are open shortly before the process exits.
+    void answerOpenRequests();
     std::shared_ptr<Records::partition_reader> startReader(
         const Records::topic_partition&, Common::millis readInterval, Records::record_sink&);
 
@@ -96,6 +100,7 @@
     std::set<Common::data_centre_id> m_evacuated;
     bool m_isShuttingDown { false };
     Common::instant m_shutdownBegan;
+    bool m_areRequestsEnded { false };
     /// Counts at the last report.
     std::map<std::string, EventLoop::traffic_count> m_reportedTraffic;
 };
--- a/Source/Core/ControlPlane/EntryNodeSettings.h
+++ b/Source/Core/ControlPlane/EntryNodeSettings.h
@@ -24,6 +24,9 @@
     instance_capacity capacity;
     /// Time from the stop signal to the end of the process.
     Common::millis stopGrace { 6000 };
+    /// Time for which the load balancer may send new connections after the instance has reported not ready. It checks
+    /// once a second and removes an instance after two failed checks.
+    Common::millis balancerRemovalTime { 2500 };
     /// Longest time that a worker takes to stop a task.
     Common::millis stopTime { 200 };
 };
--- a/Source/Core/EventLoop/HttpListener.cpp
+++ b/Source/Core/EventLoop/HttpListener.cpp
@@ -100,13 +100,21 @@
             stream.expires_never();
             ++parent->openRequests;
             hasOpenRequest = true;
+            isAnswered = false;
+            if (parent->lastAnswer) {
+                respond(*parent->lastAnswer);
+                return;
+            }
             const auto request = toRequest(std::move(message));
-            parent->handler(
-                request, [self = shared_from_this()](const http_response& reply) { self->respond(reply); });
+            parent->handler(request, [self = shared_from_this()](const http_response& reply) {
+                if (!self->isAnswered)
+                    self->respond(reply);
+            });
         }
 
         void respond(const http_response& reply)
         {
+            isAnswered = true;
             response = {};
             response.version(11);
             response.result(static_cast<unsigned>(reply.status));
@@ -162,6 +170,7 @@
         bool isKeepAlive { true };
         bool isIdle { false };
         bool hasOpenRequest { false };
+        bool isAnswered { false };
     };
 
     state(event_loop& owner, const Common::endpoint& where, const listener_limits& bounds, request_handler action,
@@ -235,6 +244,17 @@
         }
     }
 
+    void answerOpen(const http_response& reply)
+    {
+        lastAnswer = reply;
+        drain();
+        const auto current = sessions;
+        for (const auto& open : current) {
+            if (open->hasOpenRequest && !open->isAnswered)
+                open->respond(reply);
+        }
+    }
+
     /// Sessions and this state own each other; closing the sessions ends the cycle.
     void closeAll()
     {
@@ -255,6 +275,8 @@
     std::set<std::shared_ptr<session>> sessions;
     std::size_t openRequests { 0 };
     bool isDraining { false };
+    /// Answers all requests once it is set.
+    std::optional<http_response> lastAnswer;
 };
 
 http_listener::http_listener(
@@ -278,6 +300,8 @@
 
 void http_listener::drain() { m_state->drain(); }
 
+void http_listener::answerOpen(const http_response& reply) { m_state->answerOpen(reply); }
+
 std::size_t http_listener::openRequests() const { return m_state->openRequests; }
 
 }
--- a/Source/Core/EventLoop/HttpListener.h
+++ b/Source/Core/EventLoop/HttpListener.h
@@ -41,6 +41,9 @@
     std::uint16_t port() const;
     /// Stops accepting. Idle connections are closed at once, the others after their next response.
     void drain();
+    /// Drains, and answers all open requests, and those that are read from now on, with this response. Later answers of
+    /// the handler to them have no effect.
+    void answerOpen(const http_response&);
     /// Number of requests that were read completely and have no response yet.
     std::size_t openRequests() const;
 
--- a/Source/UnitTests/Core/EventLoop/ListenerTest.cpp
+++ b/Source/UnitTests/Core/EventLoop/ListenerTest.cpp
@@ -2,27 +2,12 @@
 #include "EventLoop/HttpClient.h"
 #include "EventLoop/HttpListener.h"
 #include "EventLoop/TrafficMeter.h"
+#include "RawConnection.h"
 
-#include <arpa/inet.h>
 #include <catch2/catch.hpp>
-#include <sys/socket.h>
-#include <unistd.h>
 
 namespace {
 
-/// Opens a connection, sends the bytes, and leaves it open.
-int openAndSend(std::uint16_t port, const std::string& bytes)
-{
-    const int handle = ::socket(AF_INET, SOCK_STREAM, 0);
-    sockaddr_in address {};
-    address.sin_family = AF_INET;
-    address.sin_port = htons(port);
-    ::inet_pton(AF_INET, "127.0.0.1", &address.sin_addr);
-    REQUIRE(::connect(handle, reinterpret_cast<sockaddr*>(&address), sizeof address) == 0);
-    REQUIRE(::send(handle, bytes.data(), bytes.size(), MSG_NOSIGNAL) == static_cast<ssize_t>(bytes.size()));
-    return handle;
-}
-
 struct listener_fixture {
     listener_fixture()
         : listener(loop, { "127.0.0.1", 0 }, {},
