A draining listener answers the requests that have already arrived

Callers of an instance that stopped saw connections reset or closed without a response although their request had arrived (LOST): requests on connections that waited to be accepted, requests on idle connections whose bytes hadn't been read yet, and further requests on a connection behind an open one. While fewer than half of a zone's instances are ready, the load balancer sends connections to those that stop, too.

Cause: drain() closed the acceptor and all idle connections without looking whether anything had arrived, and a response while draining always closed its connection.

Change: drain() accepts the established connections first, and one whose accept has completed is no longer dropped; a connection is closed only when nothing has arrived on it; one that hasn't had a request yet gets 0.5 s for it. What remains: a request that is under way when its idle connection is closed, as with any HTTP server.

Tests on real sockets: seven ways in which a request arrives around drain(). Not tested: an accept that completes in the same turn of the loop as drain().

--- a/Source/Core/EventLoop/HttpListener.cpp
+++ b/Source/Core/EventLoop/HttpListener.cpp
@@ -22,6 +22,8 @@
 
     /// Delay after a failed accept, for example when no file descriptor is free.
     constexpr Common::millis acceptRetryDelay { 50 };
+    /// How long a draining listener waits for the first request on a new connection.
+    constexpr Common::millis firstRequestWait { 500 };
 
     http_request toRequest(http::request<http::string_body>&& message)
     {
@@ -61,7 +63,7 @@
             }
             stream.async_read_some(buffer.prepare(firstReadBytes),
                 [self = shared_from_this()](const error_code& failed, std::size_t size) {
-                    if (failed) {
+                    if (failed && !self->hasInput()) {
                         self->close();
                         return;
                     }
@@ -101,6 +103,7 @@
             ++parent->openRequests;
             hasOpenRequest = true;
             isAnswered = false;
+            hasHadRequest = true;
             if (parent->lastAnswer) {
                 respond(*parent->lastAnswer);
                 return;
@@ -122,7 +125,7 @@
             for (const auto& header : reply.headers)
                 response.set(header.name, header.value);
             response.body() = reply.body;
-            isKeepAlive = isKeepAlive && !parent->isDraining;
+            isKeepAlive = isKeepAlive && (!parent->isDraining || hasInput());
             response.keep_alive(isKeepAlive);
             response.prepare_payload();
             stream.expires_after(parent->limits.idleTimeout);
@@ -151,6 +154,22 @@
             respond({ .status = static_cast<int>(status) });
         }
 
+        /// Whether bytes have arrived that aren't part of the requests so far.
+        bool hasInput() const
+        {
+            error_code error;
+            return buffer.size() > 0 || (stream.socket().available(error) > 0 && !error);
+        }
+
+        /// Closes the connection if it waits for a request and none has arrived or is soon to be expected.
+        void closeIfIdle()
+        {
+            const bool isNew = !hasHadRequest && Common::boot_clock::now() < openedAt + firstRequestWait;
+            // A read that has already completed is delivered in spite of this.
+            if (isIdle && !isNew && !hasInput())
+                stream.cancel();
+        }
+
         void close()
         {
             error_code ignored;
@@ -171,6 +190,8 @@
         bool isIdle { false };
         bool hasOpenRequest { false };
         bool isAnswered { false };
+        bool hasHadRequest { false };
+        const Common::instant openedAt { Common::boot_clock::now() };
     };
 
     state(event_loop& owner, const Common::endpoint& where, const listener_limits& bounds, request_handler action,
@@ -210,20 +231,34 @@
     void accept()
     {
         acceptor.async_accept([self = shared_from_this()](const error_code& failed, tcp::socket socket) {
+            if (!failed)
+                self->addSession(std::move(socket));
             if (self->isDraining)
                 return;
             if (failed) {
                 self->loop.after(acceptRetryDelay, [self] { self->accept(); });
                 return;
             }
-            self->addSession(std::move(socket));
             self->accept();
         });
     }
 
+    /// Accepts the connections that are already established.
+    void acceptWaiting()
+    {
+        error_code error;
+        acceptor.non_blocking(true, error);
+        while (!error) {
+            tcp::socket socket(loop.context());
+            acceptor.accept(socket, error);
+            if (!error)
+                addSession(std::move(socket));
+        }
+    }
+
     void addSession(tcp::socket socket)
     {
-        if (sessions.size() >= limits.connections)
+        if (isClosed || sessions.size() >= limits.connections)
             return;
         error_code ignored;
         socket.set_option(tcp::no_delay(true), ignored);
@@ -235,13 +270,11 @@
     void drain()
     {
         isDraining = true;
+        acceptWaiting();
         error_code ignored;
         acceptor.close(ignored);
-        const auto current = sessions;
-        for (const auto& open : current) {
-            if (open->isIdle)
-                open->close();
-        }
+        for (const auto& open : sessions)
+            open->closeIfIdle();
     }
 
     void answerOpen(const http_response& reply)
@@ -258,6 +291,7 @@
     /// Sessions and this state own each other; closing the sessions ends the cycle.
     void closeAll()
     {
+        isClosed = true;
         drain();
         const auto current = std::move(sessions);
         sessions.clear();
@@ -275,6 +309,7 @@
     std::set<std::shared_ptr<session>> sessions;
     std::size_t openRequests { 0 };
     bool isDraining { false };
+    bool isClosed { false };
     /// Answers all requests once it is set.
     std::optional<http_response> lastAnswer;
 };
@@ -304,4 +339,6 @@
 
 std::size_t http_listener::openRequests() const { return m_state->openRequests; }
 
+std::size_t http_listener::openConnections() const { return m_state->sessions.size(); }
+
 }
--- a/Source/Core/EventLoop/HttpListener.h
+++ b/Source/Core/EventLoop/HttpListener.h
@@ -39,13 +39,16 @@
     bool start();
     /// The bound port, also when the address had port 0.
     std::uint16_t port() const;
-    /// Stops accepting. Idle connections are closed at once, the others after their next response.
+    /// Accepts the connections that are established, and no more. Each connection is closed once all requests that have
+    /// arrived on it are answered. New connections may still send a request for a short time, so call this again until
+    /// there are no connections.
     void drain();
     /// Drains, and answers all open requests, and those that are read from now on, with this response. Later answers of
     /// the handler to them have no effect.
     void answerOpen(const http_response&);
     /// Number of requests that were read completely and have no response yet.
     std::size_t openRequests() const;
+    std::size_t openConnections() const;
 
 private:
     struct state;
--- a/Source/UnitTests/Core/EventLoop/ListenerTest.cpp
+++ b/Source/UnitTests/Core/EventLoop/ListenerTest.cpp
@@ -11,7 +11,10 @@
 struct listener_fixture {
     listener_fixture()
         : listener(loop, { "127.0.0.1", 0 }, {},
-            [](const EventLoop::http_request& request, const EventLoop::responder& respond) {
+            [this](const EventLoop::http_request& request, const EventLoop::responder& respond) {
+                ++requests;
+                if (onRequest)
+                    onRequest();
                 respond({ .status = 200, .body = request.method + ' ' + request.target + ' ' + request.body });
             })
     {
@@ -30,6 +33,33 @@
         return result;
     }
 
+    void runFor(Common::millis time)
+    {
+        loop.after(time, [this] { loop.stop(); });
+        loop.run();
+        loop.restart();
+    }
+
+    /// Runs the loop until the condition is true, for a limited number of turns.
+    void runUntil(const std::function<bool()>& condition)
+    {
+        constexpr int maxTurns = 1000;
+        for (int turn = 0; turn < maxTurns && !condition(); ++turn)
+            runFor(Common::millis(10));
+    }
+
+    /// Drains the listener until it has closed all connections, as an entry instance does when it stops.
+    void runUntilClosed()
+    {
+        runUntil([this] {
+            listener.drain();
+            return listener.openConnections() == 0;
+        });
+    }
+
+    std::function<void()> onRequest;
+    int requests { 0 };
+    std::string received;
     EventLoop::event_loop loop;
     EventLoop::http_listener listener;
 };
@@ -159,3 +189,101 @@
     CHECK(received == bodyBytes);
     CHECK(turns < acceptedTurns);
 }
+
+TEST_CASE("A request that has arrived when the listener drains is answered", "[eventloop]")
+{
+    const std::string first = "GET /1 HTTP/1.1\r\nHost: h\r\n\r\n";
+    const std::string second = "GET /2 HTTP/1.1\r\nHost: h\r\n\r\n";
+    const auto answered = [](const std::string& answers, const std::string& target) {
+        return answers.find("GET " + target + ' ') != std::string::npos;
+    };
+    listener_fixture fixture;
+    int handle = -1;
+
+    SECTION("on a connection that waits to be accepted")
+    {
+        handle = openAndSend(fixture.listener.port(), first);
+        fixture.listener.drain();
+        fixture.runUntilClosed();
+        CHECK(answered(receivedBytes(handle), "/1"));
+    }
+    SECTION("on idle connections, before the listener reads it")
+    {
+        handle = openAndSend(fixture.listener.port(), first);
+        fixture.runUntil([&] { return answered(fixture.received += receivedBytes(handle), "/1"); });
+        sendBytes(handle, second);
+        fixture.listener.drain();
+        fixture.runUntilClosed();
+        CHECK(answered(receivedBytes(handle), "/2"));
+    }
+    SECTION("behind another one on the same connection")
+    {
+        fixture.onRequest = [&fixture] { fixture.listener.drain(); };
+        handle = openAndSend(fixture.listener.port(), first + second);
+        fixture.runUntil([&fixture] { return fixture.requests > 0; });
+        fixture.runUntilClosed();
+        const auto answers = receivedBytes(handle);
+        CHECK(answered(answers, "/1"));
+        CHECK(answered(answers, "/2"));
+    }
+    SECTION("while another one on the same connection is answered")
+    {
+        std::function<void()> drainEachTurn = [&] {
+            fixture.listener.drain();
+            fixture.loop.after(Common::millis(0), drainEachTurn);
+        };
+        fixture.onRequest = [&] {
+            if (fixture.requests > 1)
+                return;
+            sendBytes(handle, second);
+            drainEachTurn();
+        };
+        handle = openAndSend(fixture.listener.port(), first);
+        fixture.runUntil([&fixture] { return fixture.requests > 0; });
+        fixture.runUntilClosed();
+        CHECK(answered(receivedBytes(handle), "/2"));
+    }
+    SECTION("in two parts")
+    {
+        handle = openAndSend(fixture.listener.port(), first.substr(0, 10));
+        fixture.runFor(Common::millis(50));
+        fixture.listener.drain();
+        sendBytes(handle, first.substr(10));
+        fixture.runUntilClosed();
+        CHECK(answered(receivedBytes(handle), "/1"));
+    }
+    ::close(handle);
+}
+
+TEST_CASE("A connection that was opened just before the listener drains may still send its request", "[eventloop]")
+{
+    listener_fixture fixture;
+    const int handle = openAndSend(fixture.listener.port(), {});
+    SECTION("accepted before") { fixture.runFor(Common::millis(20)); }
+    SECTION("not accepted yet") { }
+    fixture.listener.drain();
+    sendBytes(handle, "GET /1 HTTP/1.1\r\nHost: h\r\n\r\n");
+    fixture.runUntilClosed();
+    CHECK(receivedBytes(handle).starts_with("HTTP/1.1 200 "));
+    ::close(handle);
+}
+
+TEST_CASE("A draining listener closes connections that send nothing", "[eventloop]")
+{
+    listener_fixture fixture;
+    int handle = -1;
+    SECTION("after their response")
+    {
+        handle = openAndSend(fixture.listener.port(), "GET /1 HTTP/1.1\r\nHost: h\r\n\r\n");
+        fixture.runUntil([&] { return !(fixture.received += receivedBytes(handle)).empty(); });
+    }
+    SECTION("before their first request")
+    {
+        handle = openAndSend(fixture.listener.port(), {});
+        fixture.runFor(Common::millis(20));
+    }
+    fixture.runUntilClosed();
+    char byte = 0;
+    CHECK(::recv(handle, &byte, 1, MSG_DONTWAIT) == 0);
+    ::close(handle);
+}
