An instance that stops waits for requests that are still being received

Callers whose request arrived in parts while their instance stopped saw the connection end without a response (LOST).

Cause: the event loop stopped as soon as no request was open, 2.5 s after the signal; a request of which only a part had been read wasn't counted.

Change: it stops when no connection is left, or 0.7 s before the end of the grace period as before. A connection that sends a part of a request and no more now delays the exit by up to the request timeout of 3 s, within that limit.

Test that failed before, on a real event loop and sockets: the second part of a request is sent after the stop has begun; nothing was received.

--- a/Source/Core/ControlPlane/EntryNode.cpp
+++ b/Source/Core/ControlPlane/EntryNode.cpp
@@ -239,7 +239,8 @@
         m_callerListener->drain();
     if (now >= stopAt - lastAnswersTime)
         answerOpenRequests();
-    const bool isServed = isOutOfRotation && m_callerListener->openRequests() == 0;
+    // Also waits for requests that are still being received.
+    const bool isServed = isOutOfRotation && m_callerListener->openConnections() == 0;
     if (isServed || now >= stopAt) {
         Common::writeEvent(Common::log_level::Info, Common::log_category::Daemon, "shut_down",
             { { "open_requests", std::to_string(m_callerListener->openRequests()) } });
--- a/Source/UnitTests/Core/ControlPlane/EntryNodeTest.cpp
+++ b/Source/UnitTests/Core/ControlPlane/EntryNodeTest.cpp
@@ -133,3 +133,13 @@
     CHECK(answer.find("Connection: close") != std::string::npos);
     ::close(handle);
 }
+
+TEST_CASE("An instance that stops answers a request that is still being received", "[station]")
+{
+    entry_node_fixture fixture(Common::millis(6000));
+    const int handle = openAndSend(fixture.node->callerPort(), "GET /q/ HT");
+    fixture.runFor(Common::millis(50));
+    fixture.loop.after(Common::millis(100), [handle] { sendBytes(handle, "TP/1.1\r\nHost: h\r\n\r\n"); });
+    CHECK(fixture.stop(handle).starts_with("HTTP/1.1 200 "));
+    ::close(handle);
+}
