A leader learns at once of a cancellation that its own instance stores

A cancellation that the leader's own instance acknowledged was marked in the registry, but the leader's dispatcher learnt of it only when the record was read back, so tasks of the job could still be started in between.

Cause: job_api::storeCancel didn't notify the listener, as submit does.

Change: it does; the intake feed notifies only of cancellations that are new, as it does of jobs, so that each is reported once.

Test that failed before: a job is cancelled while the intake can't be read; the listener wasn't notified.

--- a/Source/Core/ControlPlane/JobApi.cpp
+++ b/Source/Core/ControlPlane/JobApi.cpp
@@ -160,7 +160,8 @@
     }
     m_parts.appender.add({ cancelRecord(call.job) }, [this, call, respond](Records::append_outcome outcome) {
         if (outcome == Records::append_outcome::Stored) {
-            m_parts.jobRegistry.cancel(call.job);
+            if (m_parts.jobRegistry.cancel(call.job))
+                m_parts.listener.jobCancelled(call.job);
             Common::writeEvent(Common::log_level::Info, Common::log_category::Jobs, "cancelled",
                 { { "job", call.job.value } });
             respond({ .status = 200, .body = m_parts.format.writeState(Jobs::job_state::Cancelled) });
--- a/Source/Core/ControlPlane/JobApi.h
+++ b/Source/Core/ControlPlane/JobApi.h
@@ -24,7 +24,7 @@
 struct job_api_parts {
     Records::timer_service& timers;
     Jobs::job_registry& jobRegistry;
-    /// Notified of jobs that this node has stored, without waiting until they are read back.
+    /// Notified of jobs and cancellations that this node has stored, without waiting until they are read back.
     job_listener& listener;
     Records::partition_reader& operators;
     Records::partition_reader_group& intake;
--- a/Source/Core/ControlPlane/JobFeeds.cpp
+++ b/Source/Core/ControlPlane/JobFeeds.cpp
@@ -111,8 +111,8 @@
         const Common::job_id id { record.key.substr(1) };
         if (record.value.empty())
             return;
-        m_jobRegistry.cancel(id);
-        m_listener.jobCancelled(id);
+        if (m_jobRegistry.cancel(id))
+            m_listener.jobCancelled(id);
         return;
     }
     if (record.value.empty()) {
--- a/Source/Core/Jobs/JobRegistry.cpp
+++ b/Source/Core/Jobs/JobRegistry.cpp
@@ -1,6 +1,7 @@
 #include "Jobs/JobRegistry.h"
 
 #include <algorithm>
+#include <utility>
 
 namespace Jobs {
 
@@ -14,10 +15,7 @@
     return true;
 }
 
-void job_registry::cancel(const Common::job_id& id)
-{
-    m_jobs[id.value].isCancelled = true;
-}
+bool job_registry::cancel(const Common::job_id& id) { return !std::exchange(m_jobs[id.value].isCancelled, true); }
 
 void job_registry::advance(job_progress progress)
 {
--- a/Source/Core/Jobs/JobRegistry.h
+++ b/Source/Core/Jobs/JobRegistry.h
@@ -21,7 +21,8 @@
 public:
     /// False when the job was already known.
     bool accept(job_record);
-    void cancel(const Common::job_id&);
+    /// False when the job was already cancelled.
+    bool cancel(const Common::job_id&);
     void advance(job_progress);
     /// Removes a job whose record is no longer in the log.
     void forget(const Common::job_id&);
--- a/Source/UnitTests/Core/ControlPlane/JobApiTest.cpp
+++ b/Source/UnitTests/Core/ControlPlane/JobApiTest.cpp
@@ -21,28 +21,42 @@
         for (const auto& reader : intakeReaders)
             reader->start();
         Rules::fleet_rules rules;
-        rules.queues = { { .id = { "q" }, .host = "h", .pathPrefix = "/q/", .pool = { "p" } } };
-        rules.teams = { { .id = { "team" }, .keys = { "key" } } };
+        rules.queues = { { .id = { "q" }, .host = "h", .pathPrefix = "/q/", .pool = { "p" } },
+            { .id = { "r" }, .host = "h", .pathPrefix = "/r/", .pool = { "p" } } };
+        rules.teams = { { .id = { "team" }, .keys = { "key" } }, { .id = { "other" }, .keys = { "otherKey" } } };
         api.setRules(rules);
         timers.advance(Common::millis(100));
     }
 
     void jobAccepted(const Common::job_id& id) override { accepted.push_back(id.value); }
-    void jobCancelled(const Common::job_id&) override { }
+    void jobCancelled(const Common::job_id& id) override { cancelled.push_back(id.value); }
 
     /// Status of the answer; 0 while there is none.
     int call(const std::string& method, Common::millis wait = Common::millis(50))
     {
         int status = 0;
         api.handle({ .method = method,
-                       .target = "/q/0123456789abcdef",
-                       .headers = { { "Host", "h" }, { "Authorization", "Bearer key" } },
+                       .target = prefix + job.value,
+                       .headers = { { "Host", "h" }, { "Authorization", "Bearer " + key } },
                        .body = "x" },
             [&status](const EventLoop::http_response& response) { status = response.status; });
         timers.advance(wait);
         return status;
     }
 
+    /// Stores the job as another instance would.
+    void storeElsewhere(const Jobs::job_record& record)
+    {
+        const auto stored = ControlPlane::jobRecord(record);
+        store.put(intakePartition, stored.key, stored.value);
+        timers.advance(Common::millis(3000));
+    }
+
+    Jobs::job_record someJob(const std::string& queue = "q", const std::string& team = "team") const
+    {
+        return { .id = job, .queue = { queue }, .team = { team }, .spec = { .steps = { {} } } };
+    }
+
     std::shared_ptr<Records::partition_reader> makeReader(const std::string& topic, Records::record_sink& sink)
     {
         return std::make_shared<Records::partition_reader>(
@@ -54,10 +68,16 @@
         void apply(const Records::keyed_record&) override { }
     };
 
+    const Common::job_id job { "0123456789abcdef" };
+    const Records::topic_partition intakePartition { "intake", 0 };
+    /// Queue and team of the calls.
+    std::string prefix { "/q/" };
+    std::string key { "key" };
     manual_timers timers;
     fake_store store { timers };
     Jobs::job_registry jobRegistry;
     std::vector<std::string> accepted;
+    std::vector<std::string> cancelled;
     no_sink nothing;
     ControlPlane::intake_feed feed { jobRegistry, *this };
     std::shared_ptr<Records::partition_reader> operators = makeReader("op", nothing);
@@ -108,3 +128,22 @@
         CHECK(s.call("GET", Common::millis(1300)) == 503);
     }
 }
+
+TEST_CASE("The leader is told of a cancellation as soon as its own instance has stored it", "[station]")
+{
+    job_api_fixture s;
+    REQUIRE(s.call("POST") == 200);
+    for (const auto& reader : s.intakeReaders)
+        reader->setInterval(Common::millis(60000));
+    s.timers.advance(Common::millis(3000));
+    s.store.unreadable.insert(s.intakePartition);
+    CHECK(s.call("DELETE") == 200);
+    CHECK(s.cancelled.size() == 1);
+
+    SECTION("and not again when it is read back")
+    {
+        s.store.unreadable.clear();
+        s.timers.advance(Common::millis(100000));
+        CHECK(s.cancelled.size() == 1);
+    }
+}
