A cancellation answered with 410 also cancels a job that is stored later

Cause: the cancellation of a job that wasn't known was answered with 410 and not stored.

Change: it is stored first, with the caller's queue and team, under a key of its own for each such pair; the registry keeps it apart from the jobs and applies it when the job's record comes, if queue and team match. 410 once it is stored, 503 or 504 otherwise; 200 if the job has become known by then. A job of another queue or team is answered with 410 as before, without a record.

Cost: one append (in the batches of the intake) and one entry in memory for each pair of unknown id and caller, also for ids that never existed; they stay, as the records of jobs do. Repeats cost nothing.

Tests that failed before: the job stored by a late append, by a repeated submission, read by a process that starts later, stored while the cancellation is; refused and unanswered appends. fake_store can refuse appends alone.

--- a/Source/Core/ControlPlane/JobApi.cpp
+++ b/Source/Core/ControlPlane/JobApi.cpp
@@ -25,6 +25,8 @@
             .authorization = EventLoop::findHeader(request.headers, "Authorization") };
     }
 
+    Jobs::caller_scope scopeOf(const Entry::api_call& call) { return { .queue = call.queue.id, .team = call.team }; }
+
 }
 
 job_api::job_api(const job_api_parts& parts)
@@ -97,10 +99,7 @@
 bool job_api::mayAccess(const Entry::api_call& call) const
 {
     const auto* job = m_parts.jobRegistry.find(call.job);
-    if (!job)
-        return false;
-    const auto& team = job->record->team;
-    return job->record->queue == call.queue.id && (team.empty() || call.team.empty() || team == call.team);
+    return job && scopeOf(call).covers(*job->record);
 }
 
 void job_api::submit(const Entry::api_call& call, const http_request& request, const responder& respond)
@@ -126,11 +125,8 @@
             Common::writeEvent(Common::log_level::Info, Common::log_category::Jobs, "accepted",
                 { { "job", job.id.value }, { "queue", job.queue.value }, { "team", job.team.value } });
             respond({ .status = 200, .body = "{}" });
-        } else if (outcome == Records::append_outcome::Refused) {
-            refuse(respond, 503, "not_stored", job.id.value);
         } else {
-            // The job may be stored; the caller has to retry with the same identifier.
-            refuse(respond, 504, "maybe_stored", job.id.value);
+            refuseUnstored(respond, outcome, job.id);
         }
     });
 }
@@ -145,12 +141,35 @@
         if (mayAccess(call))
             storeCancel(call, respond);
         else if (isConfirmed)
-            refuse(respond, 410, "no_such_job", call.job.value);
+            cancelUnknown(call, respond);
         else
             refuse(respond, 503, "view_too_old", call.job.value);
     });
 }
 
+void job_api::cancelUnknown(const Entry::api_call& call, const responder& respond)
+{
+    const auto scope = scopeOf(call);
+    if (m_parts.jobRegistry.find(call.job) || m_parts.jobRegistry.awaitsJob(call.job, scope)) {
+        refuse(respond, 410, "no_such_job", call.job.value);
+        return;
+    }
+    m_parts.appender.add({ cancelRecord(call.job, scope) }, [this, call, scope, respond](Records::append_outcome outcome) {
+        if (outcome != Records::append_outcome::Stored) {
+            refuseUnstored(respond, outcome, call.job);
+            return;
+        }
+        if (m_parts.jobRegistry.cancel(call.job, scope))
+            m_parts.listener.jobCancelled(call.job);
+        Common::writeEvent(Common::log_level::Info, Common::log_category::Jobs, "cancelled_before_known",
+            { { "job", call.job.value }, { "queue", scope.queue.value }, { "team", scope.team.value } });
+        if (mayAccess(call))
+            respond({ .status = 200, .body = m_parts.format.writeState(*m_parts.jobRegistry.stateOf(call.job)) });
+        else
+            refuse(respond, 410, "no_such_job", call.job.value);
+    });
+}
+
 void job_api::storeCancel(const Entry::api_call& call, const responder& respond)
 {
     const auto state = m_parts.jobRegistry.stateOf(call.job);
@@ -165,10 +184,8 @@
             Common::writeEvent(Common::log_level::Info, Common::log_category::Jobs, "cancelled",
                 { { "job", call.job.value } });
             respond({ .status = 200, .body = m_parts.format.writeState(Jobs::job_state::Cancelled) });
-        } else if (outcome == Records::append_outcome::Refused) {
-            refuse(respond, 503, "not_stored", call.job.value);
         } else {
-            refuse(respond, 504, "maybe_stored", call.job.value);
+            refuseUnstored(respond, outcome, call.job);
         }
     });
 }
@@ -192,6 +209,16 @@
     });
 }
 
+void job_api::refuseUnstored(
+    const responder& respond, Records::append_outcome outcome, const Common::job_id& job) const
+{
+    if (outcome == Records::append_outcome::Refused)
+        refuse(respond, 503, "not_stored", job.value);
+    else
+        // The record may be stored; the caller has to retry with the same identifier.
+        refuse(respond, 504, "maybe_stored", job.value);
+}
+
 void job_api::refuse(const responder& respond, int status, const char* reason, const std::string& job) const
 {
     m_parts.eventCounters.add(std::string("refused_") + reason);
--- a/Source/Core/ControlPlane/JobFeeds.cpp
+++ b/Source/Core/ControlPlane/JobFeeds.cpp
@@ -1,5 +1,6 @@
 #include "ControlPlane/JobFeeds.h"
 
+#include "Common/Hashing.h"
 #include "Common/JsonFields.h"
 #include "Common/Logging.h"
 #include "Jobs/JobCodec.h"
@@ -12,6 +13,8 @@
 
     /// Precedes the job's identifier in the key of its cancellation.
     constexpr char cancelPrefix = '~';
+    /// Precedes the digest of the scope in that key, if the cancellation has one.
+    constexpr char scopeSeparator = '~';
     constexpr auto claimKey = "@holder";
     constexpr auto releaseKey = "@released";
     constexpr auto handoverKey = "@handover";
@@ -37,6 +40,19 @@
             .link = { object.value("megabits", unknown.link.value) } };
     }
 
+    std::optional<Jobs::caller_scope> decodeScope(const std::string& value)
+    {
+        const auto parsed = Common::parseJson(value);
+        if (!parsed)
+            return std::nullopt;
+        try {
+            return Jobs::caller_scope { .queue = parsed->at("queue").get<Common::queue_id>(),
+                .team = parsed->at("team").get<Common::team_id>() };
+        } catch (const Common::json::exception&) {
+            return std::nullopt;
+        }
+    }
+
     std::optional<Capacity::wave_status> decodeWave(const std::string& value)
     {
         const auto parsed = Common::parseJson(value);
@@ -63,6 +79,14 @@
 
 Records::keyed_record cancelRecord(const Common::job_id& id) { return { .key = cancelPrefix + id.value, .value = "1" }; }
 
+Records::keyed_record cancelRecord(const Common::job_id& id, const Jobs::caller_scope& scope)
+{
+    auto value = Common::writeJson({ { "queue", scope.queue }, { "team", scope.team } });
+    // Each scope has a key of its own, because only the newest record of a key outlasts the history.
+    auto key = cancelPrefix + id.value + scopeSeparator + Common::contentDigest(value);
+    return { .key = std::move(key), .value = std::move(value) };
+}
+
 Records::keyed_record progressRecord(const Jobs::job_progress& progress)
 {
     return { .key = progress.job.value, .value = Jobs::encodeProgress(progress) };
@@ -105,16 +129,31 @@
 {
 }
 
-void intake_feed::apply(const Records::keyed_record& record)
+void intake_feed::applyCancellation(const Records::keyed_record& record)
 {
-    if (record.key.starts_with(cancelPrefix)) {
+    if (record.value.empty())
+        return;
+    const auto idEnd = record.key.find(scopeSeparator, 1);
+    if (idEnd == std::string::npos) {
         const Common::job_id id { record.key.substr(1) };
-        if (record.value.empty())
-            return;
         if (m_jobRegistry.cancel(id))
             m_listener.jobCancelled(id);
         return;
     }
+    const Common::job_id id { record.key.substr(1, idEnd - 1) };
+    const auto scope = decodeScope(record.value);
+    if (!scope)
+        reportUnreadable("cancellation", record);
+    else if (m_jobRegistry.cancel(id, *scope))
+        m_listener.jobCancelled(id);
+}
+
+void intake_feed::apply(const Records::keyed_record& record)
+{
+    if (record.key.starts_with(cancelPrefix)) {
+        applyCancellation(record);
+        return;
+    }
     if (record.value.empty()) {
         m_jobRegistry.forget({ record.key });
         return;
--- a/Source/Core/ControlPlane/JobFeeds.h
+++ b/Source/Core/ControlPlane/JobFeeds.h
@@ -30,6 +30,8 @@
 /// Records of the intake and progress topics.
 Records::keyed_record jobRecord(const Jobs::job_record&);
 Records::keyed_record cancelRecord(const Common::job_id&);
+/// Cancellation of a job that isn't known: it cancels the job only if the scope covers it.
+Records::keyed_record cancelRecord(const Common::job_id&, const Jobs::caller_scope&);
 Records::keyed_record progressRecord(const Jobs::job_progress&);
 Records::keyed_record claimRecord(const claim_record&);
 /// Heartbeat of the leader with this claim.
@@ -58,6 +60,8 @@
     void apply(const Records::keyed_record&) override;
 
 private:
+    void applyCancellation(const Records::keyed_record&);
+
     Jobs::job_registry& m_jobRegistry;
     job_listener& m_listener;
 };
--- a/Source/Core/Jobs/JobRegistry.cpp
+++ b/Source/Core/Jobs/JobRegistry.cpp
@@ -5,6 +5,11 @@
 
 namespace Jobs {
 
+bool caller_scope::covers(const job_record& job) const
+{
+    return job.queue == queue && (job.team.empty() || team.empty() || job.team == team);
+}
+
 bool job_registry::accept(job_record record)
 {
     auto& job = m_jobs[record.id.value];
@@ -12,11 +17,30 @@
     if (job.record)
         return false;
     job.record = std::move(record);
+    const auto [first, last] = m_earlyCancellations.equal_range(job.record->id.value);
+    job.isCancelled = job.isCancelled
+        || std::any_of(first, last, [&job](const auto& entry) { return entry.second.covers(*job.record); });
+    m_earlyCancellations.erase(first, last);
     return true;
 }
 
 bool job_registry::cancel(const Common::job_id& id) { return !std::exchange(m_jobs[id.value].isCancelled, true); }
 
+bool job_registry::cancel(const Common::job_id& id, const caller_scope& scope)
+{
+    if (const auto* job = find(id))
+        return scope.covers(*job->record) && cancel(id);
+    if (!awaitsJob(id, scope))
+        m_earlyCancellations.emplace(id.value, scope);
+    return false;
+}
+
+bool job_registry::awaitsJob(const Common::job_id& id, const caller_scope& scope) const
+{
+    const auto [first, last] = m_earlyCancellations.equal_range(id.value);
+    return std::any_of(first, last, [&scope](const auto& entry) { return entry.second == scope; });
+}
+
 void job_registry::advance(job_progress progress)
 {
     auto& job = m_jobs[progress.job.value];
--- a/Source/Core/Jobs/JobRegistry.h
+++ b/Source/Core/Jobs/JobRegistry.h
@@ -16,6 +16,15 @@
     job_progress progress;
 };
 
+/// Queue and team of a call. An empty team, of the call or of the job, matches any.
+struct caller_scope {
+    Common::queue_id queue;
+    Common::team_id team;
+
+    bool covers(const job_record&) const;
+    friend bool operator==(const caller_scope&, const caller_scope&) = default;
+};
+
 /// All jobs in the log. Depends only on the records, not on the order in which the two topics are read.
 class job_registry {
 public:
@@ -23,6 +32,11 @@
     bool accept(job_record);
     /// False when the job was already cancelled.
     bool cancel(const Common::job_id&);
+    /// Cancels the job if the scope covers it. As long as the job isn't known, the cancellation is kept for it. True when
+    /// a known job has been cancelled that wasn't before.
+    bool cancel(const Common::job_id&, const caller_scope&);
+    /// Whether this cancellation is kept for a job that isn't known.
+    bool awaitsJob(const Common::job_id&, const caller_scope&) const;
     void advance(job_progress);
     /// Removes a job whose record is no longer in the log.
     void forget(const Common::job_id&);
@@ -43,6 +57,8 @@
     std::vector<Common::job_id> unfinished(bool isCancelled) const;
 
     std::unordered_map<std::string, known_job> m_jobs;
+    /// Cancellations of jobs that aren't known, by job.
+    std::unordered_multimap<std::string, caller_scope> m_earlyCancellations;
 };
 
 }
--- a/Source/UnitTests/Core/ControlPlane/JobApiTest.cpp
+++ b/Source/UnitTests/Core/ControlPlane/JobApiTest.cpp
@@ -147,3 +147,95 @@
         CHECK(s.cancelled.size() == 1);
     }
 }
+
+TEST_CASE("A job that is stored after its cancellation was answered with 410 is cancelled", "[station]")
+{
+    job_api_fixture s;
+    REQUIRE(s.call("DELETE") == 410);
+
+    SECTION("by an append without an answer")
+    {
+        s.storeElsewhere(s.someJob());
+        CHECK(s.jobRegistry.stateOf(s.job) == Jobs::job_state::Cancelled);
+    }
+    SECTION("by a repeated submission")
+    {
+        CHECK(s.call("POST") == 200);
+        CHECK(s.jobRegistry.stateOf(s.job) == Jobs::job_state::Cancelled);
+    }
+    SECTION("also for a process that starts later")
+    {
+        s.storeElsewhere(s.someJob());
+        s.store.compact(s.intakePartition);
+        Jobs::job_registry laterRegistry;
+        ControlPlane::intake_feed laterFeed(laterRegistry, s);
+        const auto later = s.makeReader("intake", laterFeed);
+        later->start();
+        s.timers.advance(Common::millis(1000));
+        CHECK(laterRegistry.stateOf(s.job) == Jobs::job_state::Cancelled);
+    }
+    SECTION("but not one of another queue")
+    {
+        s.storeElsewhere(s.someJob("r"));
+        CHECK(s.jobRegistry.stateOf(s.job) == Jobs::job_state::Pending);
+    }
+    SECTION("nor one of another team")
+    {
+        s.storeElsewhere(s.someJob("q", "other"));
+        CHECK(s.jobRegistry.stateOf(s.job) == Jobs::job_state::Pending);
+    }
+    SECTION("also if another team has sent the same cancellation since")
+    {
+        s.key = "otherKey";
+        REQUIRE(s.call("DELETE") == 410);
+        s.store.compact(s.intakePartition);
+        s.storeElsewhere(s.someJob());
+        CHECK(s.jobRegistry.stateOf(s.job) == Jobs::job_state::Cancelled);
+    }
+}
+
+TEST_CASE("A job that is stored while its cancellation is being stored is cancelled at once", "[station]")
+{
+    job_api_fixture s;
+    s.store.delay = Common::millis(20);
+    s.timers.after(Common::millis(30), [&s] { REQUIRE(s.jobRegistry.accept(s.someJob())); });
+    CHECK(s.call("DELETE", Common::millis(200)) == 200);
+    CHECK(s.cancelled.size() == 1);
+    CHECK(s.jobRegistry.stateOf(s.job) == Jobs::job_state::Cancelled);
+}
+
+TEST_CASE("The cancellation of an unknown job is stored before it is answered", "[station]")
+{
+    job_api_fixture s;
+    SECTION("once")
+    {
+        CHECK(s.call("DELETE") == 410);
+        CHECK(s.store.appends == 1);
+        CHECK(s.call("DELETE") == 410);
+        CHECK(s.store.appends == 1);
+    }
+    SECTION("the store refuses")
+    {
+        s.store.unwritable = Records::append_outcome::Refused;
+        CHECK(s.call("DELETE", Common::millis(300)) == 503);
+    }
+    SECTION("the store doesn't answer")
+    {
+        s.store.unwritable = Records::append_outcome::Unknown;
+        CHECK(s.call("DELETE", Common::millis(3000)) == 504);
+    }
+}
+
+TEST_CASE("A job of another queue or team is reported as unknown and isn't cancelled", "[station]")
+{
+    job_api_fixture s;
+    REQUIRE(s.call("POST") == 200);
+    const int appends = s.store.appends;
+    SECTION("another queue") { s.prefix = "/r/"; }
+    SECTION("another team") { s.key = "otherKey"; }
+    CHECK(s.call("DELETE") == 410);
+    s.timers.advance(Common::millis(3000));
+    CHECK(s.store.appends == appends);
+    CHECK(s.cancelled.empty());
+    CHECK(s.jobRegistry.stateOf(s.job) == Jobs::job_state::Pending);
+}
--- a/Source/UnitTests/Core/ControlPlane/JobFeedsTest.cpp
+++ b/Source/UnitTests/Core/ControlPlane/JobFeedsTest.cpp
@@ -26,6 +26,71 @@
     CHECK(jobRegistry.size() == 1);
 }
 
+TEST_CASE("A cancellation that was stored before its job cancels only a job of its queue and team", "[station]")
+{
+    Jobs::job_registry jobRegistry;
+    counting_listener listener;
+    ControlPlane::intake_feed feed(jobRegistry, listener);
+    const Common::job_id id { "j" };
+    const auto job = ControlPlane::jobRecord({ .id = id, .queue = { "q" }, .team = { "t" } });
+    const auto isCancelled = [&] { return jobRegistry.stateOf(id) == Jobs::job_state::Cancelled; };
+
+    SECTION("read before the job")
+    {
+        feed.apply(ControlPlane::cancelRecord(id, { .queue = { "q" }, .team = { "t" } }));
+        CHECK(listener.cancelled == 0);
+        CHECK(jobRegistry.size() == 0);
+        CHECK(jobRegistry.waitingIn({ "q" }) == 0);
+        CHECK(jobRegistry.cancelledJobs().empty());
+        feed.apply(job);
+        CHECK(isCancelled());
+        CHECK(jobRegistry.cancelledJobs().size() == 1);
+    }
+    SECTION("read after the job")
+    {
+        feed.apply(job);
+        feed.apply(ControlPlane::cancelRecord(id, { .queue = { "q" }, .team = { "t" } }));
+        CHECK(listener.cancelled == 1);
+        CHECK(isCancelled());
+    }
+    SECTION("of a caller without a team")
+    {
+        feed.apply(ControlPlane::cancelRecord(id, { .queue = { "q" }, .team = {} }));
+        feed.apply(job);
+        CHECK(isCancelled());
+    }
+    SECTION("of others, in any order")
+    {
+        feed.apply(ControlPlane::cancelRecord(id, { .queue = { "other" }, .team = { "t" } }));
+        feed.apply(job);
+        feed.apply(ControlPlane::cancelRecord(id, { .queue = { "q" }, .team = { "other" } }));
+        CHECK(listener.cancelled == 0);
+        CHECK(jobRegistry.openJobs().size() == 1);
+    }
+    SECTION("of several callers, one of them the job's")
+    {
+        const auto own = ControlPlane::cancelRecord(id, { .queue = { "q" }, .team = { "t" } });
+        const auto others = ControlPlane::cancelRecord(id, { .queue = { "q" }, .team = { "other" } });
+        CHECK(own.key != others.key);
+        feed.apply(own);
+        feed.apply(others);
+        feed.apply(job);
+        CHECK(isCancelled());
+    }
+    SECTION("of an earlier version, without a scope")
+    {
+        feed.apply({ .key = "~j", .value = "1" });
+        feed.apply(job);
+        CHECK(isCancelled());
+    }
+    SECTION("that can't be read")
+    {
+        feed.apply({ .key = "~j~digest", .value = "1" });
+        feed.apply(job);
+        CHECK_FALSE(isCancelled());
+    }
+}
+
 TEST_CASE("Heartbeats and older releases don't change the newest claim and release", "[station]")
 {
     Jobs::job_registry jobRegistry;
--- a/Source/UnitTests/Core/Records/FakeStore.h
+++ b/Source/UnitTests/Core/Records/FakeStore.h
@@ -68,6 +68,11 @@
         std::function<void(Records::append_result)> handler) override
     {
         ++appends;
+        if (unwritable) {
+            const bool isAnswered = *unwritable != Records::append_outcome::Unknown;
+            timers.after(isAnswered ? delay : timeout, [handler, outcome = *unwritable] { handler({ .outcome = outcome }); });
+            return;
+        }
         if (silentPartitions.contains(request.partition)) {
             timers.after(timeout, [handler] { handler({ .outcome = Records::append_outcome::Unknown }); });
             return;
@@ -250,6 +255,8 @@
     std::set<Records::topic_partition> unreadable;
     int appends { 0 };
     int reads { 0 };
+    /// Outcome of all appends; none is executed. Reads aren't affected.
+    std::optional<Records::append_outcome> unwritable;
     /// Records that were returned to readers, by partition.
     std::map<Records::topic_partition, int> recordsRead;
     int listings { 0 };
