Cluster simulation: tasks that crash their workers, capacity that varies

Callers saw jobs whose tasks crash every worker that starts them run on without limit, and the workers' other runs lost with them. No test had such a task: the simulated worker came back at once, and only by a drawn fault.

Change: a share of the simulated jobs has one task that crashes the workers that start it 0 to 300 ms later, before or after the answer to the order. Such a worker is silent or refuses connections for 1 to 4 s, its registration expires after three heartbeats, and it comes back under its id as a new incarnation. Violations: a third start by a node in touch after three workers crashed under the task; a job with such a task that doesn't end as failed; any other job that isn't completed (after two crashes of which the simulation's own faults caused one, a job may also be failed). The capacity of workers without an admission check can shrink and grow; a start over it is a violation, by the newest report or by all of a recent window. An answer is now lost if its worker crashes before it is sent.

--- a/Source/UnitTests/Core/Explorer/ClusterSimulation.h
+++ b/Source/UnitTests/Core/Explorer/ClusterSimulation.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "ControlPlane/LeadershipManager.h"
+#include "CrashRecord.h"
 #include "SimulatedWorker.h"
 
 #include <optional>
@@ -16,6 +17,21 @@
     Common::millis faultTime { 25000 };
     /// Time after the end of all faults within which all jobs must complete.
     Common::millis recoveryTime { 40000 };
+    /// Average number of steps between two faults; 0 for no faults.
+    int stepsPerFault { 12 };
+    /// Share of the jobs with one task that crashes the workers that start it.
+    Common::percent crashingJobs { 0 };
+    /// The workers' capacity shrinks and grows, and they have no admission check.
+    bool doesCapacityVary { false };
+    /// A start may use no more than any report of capacity in this time before it was sent, and the newest one, allow.
+    Common::millis capacityWindow { 0 };
+};
+
+/// A node as the sender of an order.
+struct order_sender {
+    int node { 0 };
+    Common::instant sentAt;
+    bool wasInTouch { false };
 };
 
 class simulated_node;
@@ -37,9 +53,13 @@
     /// Node that made the newest claim; empty before the first.
     std::optional<int> lastClaimer() const;
     ControlPlane::instance_capacity capacityOf(int node) const;
+    const crash_record& crashes() const { return m_crashes; }
+    /// Starts that were checked against the capacity of their worker.
+    int checkedStarts() const { return m_checkedStarts; }
 
     void onRunStarted(const std::string& worker, const Jobs::task_name&, Dispatch::run_number) override;
     void onRunEnded(const std::string& worker, const Jobs::task_name&, Dispatch::end_kind) override;
+    void onWorkerRestarted(const std::string& worker) override;
 
     bool isDisconnected(int node, const std::string& worker) const { return m_disconnected.contains({ node, worker }); }
     bool isStoreUnreachable(int node) const { return m_storeUnreachable.contains(node); }
@@ -48,16 +68,39 @@
     manual_timers& timers() { return m_timers; }
     fake_store& store() { return m_store; }
     const Rules::fleet_rules& rules() const { return m_rules; }
+    /// Workers that are registered, as the store has them.
     std::vector<Dispatch::worker_entry> workerEntries() const;
+    order_sender senderOf(int node) const { return { node, m_timers.now(), isInTouch(node) }; }
+    /// Sender of the order that is executed next.
+    void setSender(const order_sender& sender) { m_sender = sender; }
 
 private:
+    struct capacity_report {
+        Common::instant at;
+        int slots { 0 };
+    };
+
+    void advanceOneStep();
     void injectFault();
     void submit();
+    void report(const std::string& violation);
+    void publish(const std::string& worker);
+    void noteDisruption(int node, Common::millis duration);
+    /// Whether nothing has disrupted the node for `contactTime`.
+    bool isInTouch(int node) const;
+    void drawCrash(const std::string& worker, const Jobs::task_name&, Dispatch::run_number);
+    void crashUnder(const std::string& worker, const Jobs::task_name&);
+    void noteLostRuns(const std::string& worker, bool isFault);
+    void expireRegistrationLater(const std::string& worker);
+    void varyCapacity();
+    void setSlots(const std::string& worker, int slots);
+    void checkCapacity(const std::string& worker, const std::string& text);
     void tickWorkers();
     void restart(int node);
-    void clearFaultLater(std::uint64_t maxExtraMillis, std::function<void()> clearFault);
+    /// Returns how long the fault lasts.
+    Common::millis clearFaultLater(std::uint64_t maxExtraMillis, std::function<void()> clearFault);
     void clearFaults();
-    std::string checkJobsCompleted();
+    std::string checkJobs();
     /// At most one node may be confirmed as the leader.
     void checkLeaders();
 
@@ -72,6 +115,12 @@
     std::set<int> m_storeUnreachable;
     std::map<Jobs::task_name, std::set<std::string>> m_running;
     std::vector<Common::job_id> m_submitted;
+    std::map<std::string, Dispatch::worker_entry> m_registrations;
+    std::map<std::string, std::vector<capacity_report>> m_capacityReports;
+    std::map<int, Common::instant> m_disruptedUntil;
+    order_sender m_sender;
+    crash_record m_crashes;
+    int m_checkedStarts { 0 };
     std::string m_violation;
     std::size_t m_steps { 0 };
     int m_incarnations { 0 };
--- a/Source/UnitTests/Core/Explorer/ClusterSimulationTest.cpp
+++ b/Source/UnitTests/Core/Explorer/ClusterSimulationTest.cpp
@@ -1,23 +1,12 @@
 #include "ClusterSimulation.h"
+#include "ExplorerSeeds.h"
 
 #include <catch2/catch.hpp>
-#include <cstdlib>
 
 namespace {
 
-/// Seeds in CI; LOFT_EXPLORER_SEEDS sets another number, LOFT_EXPLORER_FIRST the first seed.
+/// Seeds in CI.
 constexpr std::uint64_t defaultSeeds = 80;
-
-std::uint64_t numberFrom(const char* variable, std::uint64_t fallback)
-{
-    const char* text = std::getenv(variable);
-    return text ? std::strtoull(text, nullptr, 10) : fallback;
-}
-
-}
-
-namespace {
-
 constexpr ControlPlane::instance_capacity largeCapacity { .processor = { 500 }, .link = { 200 } };
 constexpr ControlPlane::instance_capacity smallCapacity { .processor = { 120 }, .link = { 10 } };
 
@@ -25,10 +14,9 @@
 
 TEST_CASE("Under random faults among instances of different capacity, no task runs twice, and a large one leads at the end", "[explorer]")
 {
-    const auto first = numberFrom("LOFT_EXPLORER_FIRST", 1);
-    const auto seeds = numberFrom("LOFT_EXPLORER_SEEDS", defaultSeeds);
+    const explorer_seeds seeds(defaultSeeds);
     int handovers = 0;
-    for (auto seed = first; seed < first + seeds; ++seed) {
+    for (auto seed = seeds.first; seed < seeds.end(); ++seed) {
         cluster_simulation simulation(
             { .seed = seed, .nodes = 4, .capacities = { smallCapacity, largeCapacity, smallCapacity, largeCapacity } });
         const auto violation = simulation.run();
@@ -45,11 +33,10 @@
 
 TEST_CASE("Under random faults no task runs twice and each job completes", "[explorer]")
 {
-    const auto first = numberFrom("LOFT_EXPLORER_FIRST", 1);
-    const auto seeds = numberFrom("LOFT_EXPLORER_SEEDS", defaultSeeds);
+    const explorer_seeds seeds(defaultSeeds);
     std::size_t steps = 0;
     int takeovers = 0;
-    for (auto seed = first; seed < first + seeds; ++seed) {
+    for (auto seed = seeds.first; seed < seeds.end(); ++seed) {
         cluster_simulation simulation({ .seed = seed });
         const auto violation = simulation.run();
         INFO("LOFT_EXPLORER_FIRST=" << seed << " LOFT_EXPLORER_SEEDS=1");
@@ -60,7 +47,7 @@
         steps += simulation.steps();
         takeovers += simulation.takeovers();
     }
-    CHECK(steps > seeds * 1000);
-    CHECK(takeovers > static_cast<int>(seeds));
+    CHECK(steps > seeds.count * 1000);
+    CHECK(takeovers > static_cast<int>(seeds.count));
     WARN(steps << " steps, " << takeovers << " leadership claims");
 }
--- a/Source/UnitTests/Core/Explorer/SimulatedWorker.cpp
+++ b/Source/UnitTests/Core/Explorer/SimulatedWorker.cpp
@@ -1,11 +1,11 @@
 #include "SimulatedWorker.h"
 
+#include <utility>
+
 using Dispatch::order_outcome;
 
 namespace {
 
-/// Tasks that one worker runs at once.
-constexpr std::size_t maxRuns = 4;
 constexpr Common::millis stopTime { 200 };
 /// Longest lease that a worker accepts, in ms of its clock.
 constexpr std::int64_t maxLeaseMillis = 10000;
@@ -31,7 +31,7 @@
         .address = { "127.0.0.1", 1 },
         .dataCentre = { "dc" },
         .rack = { "r1" },
-        .capacity = { .processor = { static_cast<std::int64_t>(maxRuns) * 1000 }, .memory = { 100000 } },
+        .capacity = { .processor = { m_slots * processorPerSlot.value }, .memory = { 100000 } },
         .incarnationStartedAt = { m_incarnation } };
 }
 
@@ -73,7 +73,7 @@
         return reply(order_outcome::Done);
     if (running != m_runs.end() || order.run <= m_highestRuns[order.task])
         return reply(order_outcome::StaleRun);
-    if (m_runs.size() >= maxRuns)
+    if (m_checksCapacity && runCount() >= m_slots)
         return reply(order_outcome::NoRoom);
     m_runs[order.task] = { .run = order.run, .expectedEnd = m_timers.now() + m_workTime };
     m_observer.onRunStarted(m_id, order.task, order.run);
@@ -130,17 +130,45 @@
     }
 }
 
-void simulated_worker::crash()
+bool simulated_worker::isRunning(const Jobs::task_name& task, Dispatch::run_number run) const
+{
+    const auto found = m_runs.find(task);
+    return found != m_runs.end() && found->second.run == run;
+}
+
+void simulated_worker::loseState()
 {
     tick();
-    for (const auto& [task, run] : m_runs)
+    const auto runs = std::exchange(m_runs, {});
+    for (const auto& [task, run] : runs)
         m_observer.onRunEnded(m_id, task, Dispatch::end_kind::LeaseExpired);
-    m_runs.clear();
     m_highestRuns.clear();
     m_ends.clear();
     m_lastEnd = 0;
     m_fence = {};
     m_leaseDeadline = {};
+}
+
+void simulated_worker::beginIncarnation()
+{
     m_startedAt = m_timers.now();
+    m_losesAnswers = false;
+    m_outage.reset();
     ++m_incarnation;
 }
+
+void simulated_worker::crash()
+{
+    loseState();
+    beginIncarnation();
+}
+
+void simulated_worker::crash(const worker_outage& outage)
+{
+    loseState();
+    m_outage = outage;
+    m_timers.after(outage.duration, [this] {
+        beginIncarnation();
+        m_observer.onWorkerRestarted(m_id);
+    });
+}
