Cluster simulation: jobs whose tasks last among tasks that crash workers

Callers' tasks that last run for long, so many workers crash under them through other tasks; no simulation showed that these jobs aren't given up and are restarted in time.

Change: a share of the simulated jobs has tasks that last. Such a job may not be shown as completed, nor as failed unless one of its tasks crashes workers, and each of its tasks must run, or have ended less than 6 s before the end.

--- a/Source/UnitTests/Core/Explorer/ClusterSimulation.cpp
+++ b/Source/UnitTests/Core/Explorer/ClusterSimulation.cpp
@@ -50,22 +50,35 @@
     m_nodes[node]->begin();
 }
 
-void cluster_simulation::submit()
+std::vector<Jobs::step_spec> cluster_simulation::drawSteps(bool isLongRunning)
 {
-    const Common::job_id id { 'j' + std::to_string(m_submitted.size()) };
-    const Jobs::step_spec first { .count = static_cast<int>(1 + draw(3)),
+    Jobs::step_spec first { .count = static_cast<int>(1 + draw(3)),
         .request = { .processor = simulated_worker::processorPerSlot, .memory = { 10 } },
         .estimate = workTime };
+    if (isLongRunning) {
+        first.isLongRunning = true;
+        return { first };
+    }
     auto second = first;
     second.count = 2;
     second.dependsOn = { 0 };
+    return { first, second };
+}
+
+void cluster_simulation::submit()
+{
+    const Common::job_id id { 'j' + std::to_string(m_submitted.size()) };
+    const bool isLongRunning = drawShare(m_options.longRunningJobs);
+    const auto steps = drawSteps(isLongRunning);
     const auto record = ControlPlane::jobRecord(
-        { .id = id, .queue = { "queue" }, .team = {}, .spec = { .payload = "p", .steps = { first, second } } });
+        { .id = id, .queue = { "queue" }, .team = {}, .spec = { .payload = "p", .steps = steps } });
     m_submitted.push_back(id);
-    if (m_options.crashingJobs.value > 0 && static_cast<std::int64_t>(draw(100)) < m_options.crashingJobs.value) {
-        const int step = static_cast<int>(draw(2));
-        const auto count = static_cast<std::uint64_t>(step == 0 ? first.count : second.count);
-        m_crashes.addCrashingTask({ .job = id, .step = step, .index = static_cast<int>(draw(count)) });
+    if (isLongRunning)
+        m_longRunningJobs[id] = steps.front().count;
+    if (drawShare(m_options.crashingJobs)) {
+        const auto step = draw(steps.size());
+        const auto index = draw(static_cast<std::uint64_t>(steps[step].count));
+        m_crashes.addCrashingTask({ .job = id, .step = static_cast<int>(step), .index = static_cast<int>(index) });
     }
     m_store.put(intakePartition, record.key, record.value);
     if (draw(10) == 0)
@@ -183,15 +196,25 @@
 {
     for (const auto& id : m_submitted) {
         const auto state = m_nodes.begin()->second->jobs().stateOf(id);
-        if (m_options.crashingJobs.value == 0 && state != Jobs::job_state::Completed)
-            return "job " + id.value + " isn't completed";
-        const auto violation = m_crashes.checkEnd(id, state.value_or(Jobs::job_state::Pending));
+        const auto violation = checkJob(id, state.value_or(Jobs::job_state::Pending));
         if (!violation.empty())
             return violation;
     }
     return {};
 }
 
+std::string cluster_simulation::checkJob(const Common::job_id& id, Jobs::job_state state) const
+{
+    if (m_options.crashingJobs.value == 0 && m_options.longRunningJobs.value == 0)
+        return state == Jobs::job_state::Completed ? std::string() : "job " + id.value + " isn't completed";
+    const bool lasts = m_longRunningJobs.contains(id);
+    if (lasts && state == Jobs::job_state::Completed)
+        return "job " + id.value + " is completed, although its tasks last";
+    if (lasts && !m_crashes.crashingTaskOf(id) && state != Jobs::job_state::Failed)
+        return checkAtWork(id);
+    return m_crashes.checkEnd(id, state);
+}
+
 int cluster_simulation::takeovers() const
 {
     const auto progressLog = m_store.partitions.find(progressPartition);
@@ -273,4 +296,5 @@
 void cluster_simulation::onRunEnded(const std::string& worker, const Jobs::task_name& task, Dispatch::end_kind)
 {
     m_running[task].erase(worker);
+    m_lastEnds[task] = m_timers.now();
 }
--- a/Source/UnitTests/Core/Explorer/ClusterSimulation.h
+++ b/Source/UnitTests/Core/Explorer/ClusterSimulation.h
@@ -21,6 +21,8 @@
     int stepsPerFault { 12 };
     /// Share of the jobs with one task that crashes the workers that start it.
     Common::percent crashingJobs { 0 };
+    /// Share of the jobs whose tasks last.
+    Common::percent longRunningJobs { 0 };
     /// The workers' capacity shrinks and grows, and they have no admission check.
     bool doesCapacityVary { false };
     /// A start may use no more than any report of capacity in this time before it was sent, and the newest one, allow.
@@ -60,6 +62,7 @@
     void onRunStarted(const std::string& worker, const Jobs::task_name&, Dispatch::run_number) override;
     void onRunEnded(const std::string& worker, const Jobs::task_name&, Dispatch::end_kind) override;
     void onWorkerRestarted(const std::string& worker) override;
+    bool isLongRunning(const Jobs::task_name& task) const override { return m_longRunningJobs.contains(task.job); }
 
     bool isDisconnected(int node, const std::string& worker) const { return m_disconnected.contains({ node, worker }); }
     bool isStoreUnreachable(int node) const { return m_storeUnreachable.contains(node); }
@@ -83,6 +86,8 @@
     void advanceOneStep();
     void injectFault();
     void submit();
+    std::vector<Jobs::step_spec> drawSteps(bool isLongRunning);
+    bool drawShare(Common::percent share) { return share.value > 0 && draw(100) < static_cast<std::uint64_t>(share.value); }
     void report(const std::string& violation);
     void publish(const std::string& worker);
     void noteDisruption(int node, Common::millis duration);
@@ -101,6 +106,9 @@
     Common::millis clearFaultLater(std::uint64_t maxExtraMillis, std::function<void()> clearFault);
     void clearFaults();
     std::string checkJobs();
+    std::string checkJob(const Common::job_id&, Jobs::job_state) const;
+    /// Each task that lasts has to run, or has to have ended only recently.
+    std::string checkAtWork(const Common::job_id&) const;
     /// At most one node may be confirmed as the leader.
     void checkLeaders();
 
@@ -119,6 +127,9 @@
     std::map<std::string, std::vector<capacity_report>> m_capacityReports;
     std::map<int, Common::instant> m_disruptedUntil;
     order_sender m_sender;
+    /// Number of tasks of each job whose tasks last.
+    std::map<Common::job_id, int> m_longRunningJobs;
+    std::map<Jobs::task_name, Common::instant> m_lastEnds;
     crash_record m_crashes;
     int m_checkedStarts { 0 };
     std::string m_violation;
--- a/Source/UnitTests/Core/Explorer/ClusterSimulationWorkers.cpp
+++ b/Source/UnitTests/Core/Explorer/ClusterSimulationWorkers.cpp
@@ -4,6 +4,8 @@
 
 /// A node is in touch when nothing has disrupted it for this time.
 constexpr Common::millis contactTime { 3000 };
+/// A task that lasts runs again this long after its last run at the latest.
+constexpr Common::millis restartTime { 6000 };
 constexpr std::uint64_t maxCrashDelayMillis = 300;
 constexpr std::uint64_t minOutageMillis = 1000;
 constexpr std::uint64_t maxOutageMillis = 4000;
@@ -125,3 +127,17 @@
     report(text + " brings the worker to " + std::to_string(worker(id).runCount()) + " requests, over the "
         + std::to_string(bound) + " that it reported");
 }
+
+std::string cluster_simulation::checkAtWork(const Common::job_id& id) const
+{
+    for (int index = 0; index < m_longRunningJobs.at(id); ++index) {
+        const Jobs::task_name task { .job = id, .index = index };
+        const auto running = m_running.find(task);
+        const auto ended = m_lastEnds.find(task);
+        const bool isRunning = running != m_running.end() && !running->second.empty();
+        const bool hasJustEnded = ended != m_lastEnds.end() && m_timers.now() < ended->second + restartTime;
+        if (!isRunning && !hasJustEnded)
+            return "task " + describe(task) + ", which lasts, isn't running";
+    }
+    return {};
+}
--- a/Source/UnitTests/Core/Explorer/CrashingTaskSimulationTest.cpp
+++ b/Source/UnitTests/Core/Explorer/CrashingTaskSimulationTest.cpp
@@ -60,6 +60,10 @@
     {
         exploreCrashes({ .workers = 8, .stepsPerFault = 0, .crashingJobs = { 20 } });
     }
+    SECTION("without other faults, among tasks that last")
+    {
+        exploreCrashes({ .workers = 8, .stepsPerFault = 0, .crashingJobs = { 10 }, .longRunningJobs = { 5 } });
+    }
     SECTION("under rare other faults")
     {
         exploreCrashes({ .stepsPerFault = rareFaults, .crashingJobs = { 5 } });
--- a/Source/UnitTests/Core/Explorer/SimulatedWorker.cpp
+++ b/Source/UnitTests/Core/Explorer/SimulatedWorker.cpp
@@ -75,7 +75,7 @@
         return reply(order_outcome::StaleRun);
     if (m_checksCapacity && runCount() >= m_slots)
         return reply(order_outcome::NoRoom);
-    m_runs[order.task] = { .run = order.run, .expectedEnd = m_timers.now() + m_workTime };
+    m_runs[order.task] = { .run = order.run, .expectedEnd = m_observer.isLongRunning(order.task) ? Common::instant::max() : m_timers.now() + m_workTime };
     m_observer.onRunStarted(m_id, order.task, order.run);
     return reply(order_outcome::Done);
 }
--- a/Source/UnitTests/Core/Explorer/SimulatedWorker.h
+++ b/Source/UnitTests/Core/Explorer/SimulatedWorker.h
@@ -13,6 +13,8 @@
     virtual void onRunEnded(const std::string& worker, const Jobs::task_name&, Dispatch::end_kind) = 0;
     /// The worker is back after an outage, as a new incarnation.
     virtual void onWorkerRestarted(const std::string& worker) = 0;
+    /// Whether the task's runs last until they are stopped.
+    virtual bool isLongRunning(const Jobs::task_name&) const = 0;
 };
 
 /// How a crashed worker behaves until it is back.
