Planned starts aren't sent to a worker whose capacity has shrunk

Callers saw: workers that don't guard their capacity were brought over it by starts that had been planned before it shrank.

Cause: a start reserves its resources when it is planned and is sent once the log has it, or once fewer starts are unanswered. Only the worker's state was checked again then, not its capacity.

Change: before each pass, planned starts on a worker over its capacity are released, the last ones first, gangs with all their members; the pass places them elsewhere. Nothing that runs is stopped.

Evidence: "Planned starts that no longer fit after the capacity has shrunk aren't sent" and "A planned gang that no longer fits is started completely elsewhere, or not at all" failed before (6 starts sent instead of 2, 4 members of a gang on a worker with room for 3). The other new tests passed before: a shrunken capacity gets no starts in any of its resources, best-effort tasks count with their memory only, growth is used at once, an unanswered start counts until its stop is settled.

--- a/Source/Core/Dispatch/Dispatcher.cpp
+++ b/Source/Core/Dispatch/Dispatcher.cpp
@@ -217,6 +217,7 @@
     updateCurrentLease(now, status);
     expireLeases(now, status);
     releaseUnsent(now);
+    releaseOverCapacity(now);
     for (auto* job : m_repeatedJobs)
         job->openDue(wall);
     m_observer.onPlanPart(plan_part::Stops);
--- a/Source/Core/Dispatch/Dispatcher.h
+++ b/Source/Core/Dispatch/Dispatcher.h
@@ -234,6 +234,10 @@
     task_run* findRun(const placement&);
     task_run* findPlanned(const placement&);
     void releaseUnsent(Common::instant now);
+    /// Releases planned starts, the last ones first, on workers whose capacity no longer suffices.
+    void releaseOverCapacity(Common::instant now);
+    /// Releases a planned start, with all other members of a gang.
+    void releasePlanned(const placement&, Common::instant now);
     void markStored(const Jobs::job_progress&);
     /// Takes over an earlier leader's placement until the worker reports.
     void inherit(open_job&, const Jobs::task_progress&, Common::instant now);
--- a/Source/Core/Dispatch/DispatcherPlacements.cpp
+++ b/Source/Core/Dispatch/DispatcherPlacements.cpp
@@ -149,6 +149,25 @@
     }
 }
 
+void dispatcher::releaseOverCapacity(Common::instant now)
+{
+    for (auto planned = m_pendingStarts.rbegin(); planned != m_pendingStarts.rend(); ++planned) {
+        if (findPlanned(*planned) && m_workers.at(planned->worker).isOverCapacity())
+            releasePlanned(*planned, now);
+    }
+}
+
+void dispatcher::releasePlanned(const placement& start, Common::instant now)
+{
+    const auto* job = findJob(start.task.job);
+    const bool isGang = job && job->spec(start.task).isGang;
+    for (const auto& planned : m_pendingStarts) {
+        const bool isReleased = isGang ? isSameStep(planned.task, start.task) : planned.task == start.task;
+        if (isReleased && findPlanned(planned))
+            releaseRun(m_workers.at(planned.worker), planned.task, now);
+    }
+}
+
 void dispatcher::markStored(const Jobs::job_progress& progress)
 {
     if (Jobs::isFinal(progress.state)) {
--- a/Source/Core/Dispatch/WorkerState.h
+++ b/Source/Core/Dispatch/WorkerState.h
@@ -82,6 +82,8 @@
 
     Jobs::resources used() const { return m_used; }
     Jobs::resources free() const;
+    /// Whether the runs no longer fit, since the capacity has shrunk.
+    bool isOverCapacity() const { return !Jobs::fits({}, free()); }
     /// Processor that further best-effort tasks may use: capacity less all requests.
     Common::millicores spareProcessor() const;
     task_run& addRun(const Jobs::task_name&, const task_run&);
