A new incarnation gets no starts before its own registration was read

Callers saw: a worker that came back smaller, or as another kind, was brought over its capacity by the first starts, which were placed by the registration of its earlier incarnation.

Cause: when an answer showed that a worker had restarted, its entry was kept with the old capacity and labels. It was used again once it had reported, until the new registration arrived. A late registration of the earlier incarnation made it usable too.

Change: the worker counts as not registered, with no capacity, until a registration of this incarnation or a later one arrives.

Evidence: the test of the same name failed before (6 starts before the registration, on room for 3).

--- a/Source/Core/Dispatch/Dispatcher.cpp
+++ b/Source/Core/Dispatch/Dispatcher.cpp
@@ -52,15 +52,17 @@
 
 void dispatcher::updateRegistration(worker_state& worker, const worker_entry& entry, Common::instant now)
 {
-    worker.isRegistered = true;
     const bool isUnregistered = worker.entry.incarnationStartedAt == Common::wall_millis();
-    if (!isUnregistered && worker.entry.incarnationStartedAt < entry.incarnationStartedAt) {
-        loseAllRuns(worker, now);
-        worker.beginIncarnation(entry);
+    // Kind and capacity of an earlier incarnation say nothing about the present one.
+    if (!isUnregistered && entry.incarnationStartedAt < worker.entry.incarnationStartedAt)
         return;
-    }
-    if (isUnregistered || worker.entry.incarnationStartedAt == entry.incarnationStartedAt)
+    worker.isRegistered = true;
+    if (isUnregistered || worker.entry.incarnationStartedAt == entry.incarnationStartedAt) {
         worker.entry = entry;
+        return;
+    }
+    loseAllRuns(worker, now);
+    worker.beginIncarnation(entry);
 }
 
 void dispatcher::workerUnregistered(const Common::worker_id& id)
--- a/Source/Core/Dispatch/DispatcherReplies.cpp
+++ b/Source/Core/Dispatch/DispatcherReplies.cpp
@@ -102,10 +102,11 @@
     auto entry = worker.entry;
     if (isRestarted)
         entry.incarnationStartedAt = *reply.incarnationStartedAt;
+    entry.capacity = {};
     worker.beginIncarnation(entry);
     m_uncommittedEnds.erase(entry.id);
     m_acknowledgedEnds[entry.id] = {};
-    worker.isRegistered = worker.isRegistered && !isOtherIncarnation;
+    worker.isRegistered = false;
     worker.nextPollAt = now + pollRetryDelay;
     return false;
 }
--- a/Source/Core/Dispatch/WorkerState.h
+++ b/Source/Core/Dispatch/WorkerState.h
@@ -49,7 +49,7 @@
     explicit worker_state(worker_entry);
 
     worker_entry entry;
-    /// Whether the worker is registered at present; others get no new work.
+    /// Whether the registration of this incarnation is known and holds; others get no new work.
     bool isRegistered { true };
     /// Has answered a poll under our fencing token, so orders of an earlier leader can't start anything there.
     bool hasReported { false };
--- a/Source/UnitTests/Core/Dispatch/CapacityChangeTest.cpp
+++ b/Source/UnitTests/Core/Dispatch/CapacityChangeTest.cpp
@@ -248,6 +248,24 @@
     }
 }
 
+TEST_CASE("A new incarnation gets no starts before its own registration was read", "[dispatch][capacity]")
+{
+    capacity_change_fixture f;
+    f.join(f.sized("w1", roomFor(8)));
+    f.run("j", f.unitStep(1));
+    const auto old = f.sized("w1", roomFor(8));
+    f.incarnationStartedAt = { 2000 };
+    f.answerPoll(f.nextPoll().value());
+    f.answerPoll(f.nextPoll().value());
+    REQUIRE(f.dispatcher.workers().at({ "w1" }).hasReported);
+    f.add(f.job("waiting", { f.unitStep(6) }));
+    CHECK(f.plan().starts.empty());
+    f.dispatcher.workerRegistered(old, f.now, f.now);
+    CHECK(f.plan().starts.empty());
+    f.setCapacity("w1", roomFor(3));
+    CHECK(f.plan().starts.size() == 3);
+}
+
 TEST_CASE("A start without an answer counts until its stop is settled", "[dispatch][capacity]")
 {
     capacity_change_fixture f;
