Nothing is started beside a run of unknown size

Callers saw: after a takeover a worker was brought over its capacity beside runs of cancelled jobs that were still being stopped there.

Cause: a listed run whose job isn't known any more (its job has ended) was counted with no resources, until its end.

Change: such runs are marked, and a worker that has one gets no starts before that run has ended.

Evidence: "A worker with a run of unknown size gets no starts before that run has ended" failed before (8 starts beside it on room for 8).

--- a/Source/Core/Dispatch/Dispatcher.cpp
+++ b/Source/Core/Dispatch/Dispatcher.cpp
@@ -206,7 +206,8 @@
 bool dispatcher::isSchedulable(const worker_state& worker, Common::instant now) const
 {
     return worker.isRegistered && !worker.entry.isDraining && worker.hasReported && worker.knowsClock()
-        && !worker.isCordoned && now >= worker.suspectedUntil && !m_evacuated.contains(worker.entry.dataCentre);
+        && !worker.isCordoned && !worker.hasRunsOfUnknownSize() && now >= worker.suspectedUntil
+        && !m_evacuated.contains(worker.entry.dataCentre);
 }
 
 dispatch_orders dispatcher::plan(Common::instant now, Common::wall_millis wall, const leadership_status& status)
--- a/Source/Core/Dispatch/DispatcherReplies.cpp
+++ b/Source/Core/Dispatch/DispatcherReplies.cpp
@@ -345,7 +345,11 @@
     if (task && supersedesInherited(listed.task, *task, listed))
         releaseRun(m_workers.at(task->worker), listed.task, now);
     const bool isWanted = task && task->phase == task_phase::Waiting && !Jobs::isFinal(job->state);
-    const task_run unknown { .run = listed.run, .phase = run_phase::Running, .startedAt = now, .progressedAt = now };
+    const task_run unknown { .run = listed.run,
+        .phase = run_phase::Running,
+        .isSizeUnknown = true,
+        .startedAt = now,
+        .progressedAt = now };
     addRun(worker, listed.task, task ? runOf(*job, listed.task, listed.run, run_phase::Running, now) : unknown);
     if (isWanted)
         adopt(worker, *job, listed);
--- a/Source/Core/Dispatch/WorkerState.cpp
+++ b/Source/Core/Dispatch/WorkerState.cpp
@@ -51,6 +51,7 @@
     m_used = {};
     m_runsInPhase = {};
     m_longRunningRuns = 0;
+    m_runsOfUnknownSize = 0;
     m_bestEffortRuns = 0;
     m_bestEffortProcessor = {};
 }
@@ -91,6 +92,7 @@
 void worker_state::count(const task_run& run, int change)
 {
     m_runsInPhase[static_cast<std::size_t>(run.phase)] += change;
+    m_runsOfUnknownSize += run.isSizeUnknown ? change : 0;
     m_longRunningRuns += run.isLongRunning || run.isBestEffort ? change : 0;
     if (!run.isBestEffort)
         return;
--- a/Source/Core/Dispatch/WorkerState.h
+++ b/Source/Core/Dispatch/WorkerState.h
@@ -28,6 +28,8 @@
     Common::team_id team;
     bool isLongRunning { false };
     bool isBestEffort { false };
+    /// Nothing is known of the job, so `request` is empty.
+    bool isSizeUnknown { false };
     /// The log has the placement.
     bool isLogged { false };
     /// A start order may have reached the worker.
@@ -92,6 +94,8 @@
     void setPhase(task_run& run, run_phase);
     /// Whether any run is in the phase.
     bool hasRunsIn(run_phase phase) const { return m_runsInPhase[static_cast<std::size_t>(phase)] > 0; }
+    /// Whether there is a run that may take any part of the capacity.
+    bool hasRunsOfUnknownSize() const { return m_runsOfUnknownSize > 0; }
     bool hasBestEffortRuns() const { return m_bestEffortRuns > 0; }
     /// Whether a long-running or a best-effort task runs here.
     bool hasLongRunningRuns() const { return m_longRunningRuns > 0; }
@@ -112,6 +116,7 @@
     std::array<int, runPhases> m_runsInPhase {};
     int m_longRunningRuns { 0 };
     int m_bestEffortRuns { 0 };
+    int m_runsOfUnknownSize { 0 };
     /// Processor that best-effort tasks request.
     Common::millicores m_bestEffortProcessor;
 };
--- a/Source/UnitTests/Core/Dispatch/CapacityChangeTest.cpp
+++ b/Source/UnitTests/Core/Dispatch/CapacityChangeTest.cpp
@@ -266,6 +266,39 @@
     CHECK(f.plan().starts.size() == 3);
 }
 
+TEST_CASE("A worker with a run of unknown size gets no starts before that run has ended", "[dispatch][capacity]")
+{
+    capacity_change_fixture f(20, 1000);
+    f.dispatcher.workerRegistered(f.sized("w1", roomFor(8)), f.now, f.now);
+    f.plan();
+    const Dispatch::listed_run unknown { .task = { { "ended" }, 0, 0, 0 }, .run = { 3 }, .percent = { 10 } };
+    f.answerPoll(f.openPoll("w1"), { unknown });
+    f.add(f.job("waiting", { f.unitStep(8) }));
+    const auto orders = f.plan();
+    CHECK(orders.starts.empty());
+    REQUIRE(orders.stops.size() == 1);
+
+    SECTION("as its end is listed")
+    {
+        f.answerPoll(f.nextPoll().value(), { unknown });
+        CHECK(f.plan().starts.empty());
+        f.answerPoll(f.nextPoll().value(), {},
+            { { .number = { 1 }, .task = unknown.task, .run = unknown.run, .kind = end_kind::Stopped } });
+        CHECK(f.plan().starts.size() == 8);
+    }
+    SECTION("or the worker has accepted the stop and doesn't list it any more")
+    {
+        auto accepted = f.done();
+        accepted.outcome = order_outcome::Done;
+        f.dispatcher.onStop(orders.stops[0], accepted, f.now);
+        f.answerPoll(f.nextPoll().value());
+        CHECK(f.plan().starts.empty());
+        f.now += stopTime;
+        f.answerPoll(f.nextPoll().value());
+        CHECK(f.plan().starts.size() == 8);
+    }
+}
+
 TEST_CASE("A start without an answer counts until its stop is settled", "[dispatch][capacity]")
 {
     capacity_change_fixture f;
