A task isn't started while an earlier run of it is being stopped

Callers saw: nothing yet; found by a test. A new leader could start a task on the worker that was still stopping an older run of it: the older run was forgotten with its share of the capacity and its stop, and both could run.

Cause: a worker's list may name a run older than the placement in the log. It is stopped, but the task belongs to the placement; once that was given up, the task counted as free to start anywhere, and the new run replaced the old one in the worker's state.

Change: a task with a run that is being stopped, on any worker, waits for its end; a gang waits for all its members.

--- a/Source/Core/Dispatch/Dispatcher.h
+++ b/Source/Core/Dispatch/Dispatcher.h
@@ -218,6 +218,8 @@
     int plannedIn(const Common::pool_id&) const;
     void planStarts(const Common::pool_id&, Common::instant now, Common::wall_millis wall);
     bool mayStart(const task_state&, Common::instant now) const;
+    /// Tasks of the job with a run that is being stopped.
+    std::set<Jobs::task_name> tasksBeingStopped(const Common::job_id&) const;
     void planJob(open_job&, placement_index&, Common::instant now);
     void planStep(open_job&, int occurrence, int step, placement_index&, Common::instant now);
     void planGang(open_job&, int occurrence, int step, placement_index&, Common::instant now);
--- a/Source/Core/Dispatch/DispatcherStarts.cpp
+++ b/Source/Core/Dispatch/DispatcherStarts.cpp
@@ -128,14 +128,36 @@
     return task.phase == task_phase::Waiting && now >= task.notBefore && (!task.awaitsConfirmation || m_isConfirmed);
 }
 
+std::set<Jobs::task_name> dispatcher::tasksBeingStopped(const Common::job_id& id) const
+{
+    std::set<Jobs::task_name> names;
+    const auto found = m_runsOfJobs.find(id.value);
+    if (found == m_runsOfJobs.end())
+        return names;
+    for (const auto& [workerId, count] : found->second) {
+        const auto& worker = m_workers.at(workerId);
+        if (!worker.hasRunsIn(run_phase::Stopping))
+            continue;
+        for (const auto& [name, run] : worker.runs) {
+            if (name.job == id && run.phase == run_phase::Stopping)
+                names.insert(name);
+        }
+    }
+    return names;
+}
+
 void dispatcher::planStep(open_job& job, int occurrence, int step, placement_index& workers, Common::instant now)
 {
     std::map<Common::worker_id, int> counts;
     auto request = requestFor(job, occurrence, step, counts);
     auto& tasks = job.occurrences()[occurrence].steps[static_cast<std::size_t>(step)].tasks;
+    const auto stopping = tasksBeingStopped(job.record().id);
+    const auto isStopping = [&](std::size_t index) {
+        return !stopping.empty() && stopping.contains(taskAt(job.record(), occurrence, step, index));
+    };
     for (std::size_t index = 0; index < tasks.size(); ++index) {
         auto& task = tasks[index];
-        if (!mayStart(task, now))
+        if (!mayStart(task, now) || isStopping(index))
             continue;
         if (!m_usage.allows(m_rules, job.record().team, request.step->request))
             return;
@@ -155,11 +177,15 @@
 void dispatcher::planGang(open_job& job, int occurrence, int step, placement_index& workers, Common::instant now)
 {
     auto& tasks = job.occurrences()[occurrence].steps[static_cast<std::size_t>(step)].tasks;
+    const auto stopping = tasksBeingStopped(job.record().id);
+    const auto isStopping = [&](std::size_t index) {
+        return !stopping.empty() && stopping.contains(taskAt(job.record(), occurrence, step, index));
+    };
     run_number run;
-    for (const auto& task : tasks) {
-        if (!mayStart(task, now))
+    for (std::size_t index = 0; index < tasks.size(); ++index) {
+        if (!mayStart(tasks[index], now) || isStopping(index))
             return;
-        run = std::max(run, task.lastRun);
+        run = std::max(run, tasks[index].lastRun);
     }
     ++run.value;
     std::map<Common::worker_id, int> counts;
--- a/Source/UnitTests/Core/Dispatch/CapacityChangeTest.cpp
+++ b/Source/UnitTests/Core/Dispatch/CapacityChangeTest.cpp
@@ -338,3 +338,24 @@
         CHECK(f.plan().starts.empty());
     }
 }
+
+TEST_CASE("A task isn't started on a worker on which an earlier run of it is being stopped", "[dispatch][capacity]")
+{
+    capacity_change_fixture f(20, 1000);
+    const Jobs::task_name task { { "j" }, 0, 0, 0 };
+    f.dispatcher.workerRegistered(f.sized("w1", roomFor(1)), f.now, f.now);
+    f.dispatcher.workerRegistered(f.sized("w2", roomFor(2)), f.now, f.now);
+    f.add(f.job("j", { f.unitStep(1) }),
+        { .state = Jobs::job_state::Running,
+            .tasks = { { .occurrence = 0, .step = 0, .index = 0, .worker = { "w1" }, .run = 7 } } });
+    f.plan();
+    f.answerPoll(f.openPoll("w2"), { { .task = task, .run = { 3 }, .percent = { 10 } } });
+    REQUIRE(f.dispatcher.workers().at({ "w2" }).hasRunsIn(run_phase::Stopping));
+    f.setCapacity("w1", {});
+    f.answerPoll(f.openPoll("w1"));
+    CHECK(f.plan().starts.empty());
+    CHECK(f.dispatcher.workers().at({ "w2" }).runs.at(task).run.value == 3);
+    f.answerPoll(f.nextPoll("w2").value(), {},
+        { { .number = { 1 }, .task = task, .run = { 3 }, .kind = end_kind::Stopped } });
+    CHECK(f.plan().starts.size() == 1);
+}
