Sizes of pools follow capacities that change

Callers saw: nothing yet; found by a test. When the last listed instance of a pool had shrunk to 0, the pool was taken to need one instance whatever its demand, and gave others away; when it had shrunk to an eighth, instances were moved back and forth. When another instance had shrunk, nothing replaced it.

Cause: the capacity of the last listed instance was taken for the size of all, and a size of 0 for no demand.

Change: the size is the largest capacity listed for an instance, and the target grows by what the workers' capacities have lost in this incarnation, rounded to whole instances. While capacities don't change and none is listed as 0, the calculation is the same as before.

Evidence: "Sizes of pools follow the capacities of their workers" failed before (2, 0, 6 and 1 moves instead of 1, 1, 1 and 2).

--- a/Source/Core/Capacity/InstanceRegistry.cpp
+++ b/Source/Core/Capacity/InstanceRegistry.cpp
@@ -16,6 +16,7 @@
         const bool isNewer = record.changedAt < began && !record.isOrderInFlight;
         if (known == m_instances.end() || isNewer)
             record.entry = entry;
+        record.fullCapacity = Jobs::largest(record.fullCapacity, entry.capacity);
     }
     for (const auto& [id, record] : m_instances) {
         if (record.isOrderInFlight)
--- a/Source/Core/Capacity/InstanceRegistry.h
+++ b/Source/Core/Capacity/InstanceRegistry.h
@@ -10,6 +10,8 @@
 /// An instance and the orders sent for it.
 struct instance_record {
     instance_entry entry;
+    /// The largest capacity that was listed.
+    Jobs::resources fullCapacity;
     /// An order was sent and hasn't been answered.
     bool isOrderInFlight { false };
     /// The last order got no answer; it may have been carried out, or may still be.
--- a/Source/Core/Capacity/PoolSizer.cpp
+++ b/Source/Core/Capacity/PoolSizer.cpp
@@ -37,6 +37,15 @@
     return std::max(count(need.processor.value, each.processor.value), count(need.memory.value, each.memory.value));
 }
 
+int pool_sizer::instancesLost(const Jobs::resources& lost, const Jobs::resources& each)
+{
+    const auto share = [](std::int64_t amount, std::int64_t size) {
+        return size > 0 ? static_cast<double>(amount) / static_cast<double>(size) : 0;
+    };
+    return static_cast<int>(std::lround(
+        std::max(share(lost.processor.value, each.processor.value), share(lost.memory.value, each.memory.value))));
+}
+
 void pool_sizer::count(
     instance_record& record, pool_state& pool, Dispatch::dispatcher& dispatcher, Common::instant now)
 {
@@ -50,6 +59,8 @@
     const bool isCordoned = worker && worker->isCordoned;
     if (isUsable && (record.move || !isCordoned))
         ++pool.present;
+    if (isUsable && !record.move && !isCordoned && worker && worker->isRegistered)
+        pool.lost += worker->lostCapacity();
     const bool isOrdered = record.isOrderInFlight || record.isOutcomeUnknown || record.move || record.maintenance;
     if (isOrdered || record.entry.state != instance_state::Up || now < record.notBefore)
         return;
@@ -71,8 +82,10 @@
         const auto pool = pools.find(target);
         if (pool == pools.end())
             continue;
-        pool->second.instanceSize = record.entry.capacity;
-        fallbackSize = record.entry.capacity;
+        if (record.fullCapacity.processor.value > 0) {
+            pool->second.instanceSize = record.fullCapacity;
+            fallbackSize = record.fullCapacity;
+        }
         count(record, pool->second, dispatcher, when.now);
     }
     std::map<Common::pool_id, int> instancesForLate;
@@ -88,7 +101,7 @@
         };
         need.processor += part(pool.demand.blocked.processor);
         need.memory += part(pool.demand.blocked.memory);
-        pool.onTime = instancesFor(need, size) + m_options.reserve;
+        pool.onTime = instancesFor(need, size) + instancesLost(pool.lost, size) + m_options.reserve;
         instancesForLate[id] = instancesFor(pool.demand.late, size);
         std::sort(pool.busy.begin(), pool.busy.end(),
             [](const auto& left, const auto& right) { return left.usedProcessor < right.usedProcessor; });
--- a/Source/Core/Capacity/PoolSizer.h
+++ b/Source/Core/Capacity/PoolSizer.h
@@ -49,8 +49,10 @@
     };
     struct pool_state {
         bool isSpare { false };
-        /// Capacity of one of its instances; empty when it has none.
+        /// Full capacity of one of its instances; empty when it has none.
         std::optional<Jobs::resources> instanceSize;
+        /// What the capacities of its workers have shrunk by.
+        Jobs::resources lost;
         /// Instances needed by jobs that can meet their deadline, and target with late jobs included.
         int onTime { 0 };
         int wanted { 0 };
@@ -65,6 +67,8 @@
 
     pool_states survey(const Rules::fleet_rules&, instance_registry&, Dispatch::dispatcher&, const plan_time&);
     void count(instance_record&, pool_state&, Dispatch::dispatcher&, Common::instant now);
+    /// Instances that replace capacity that was lost.
+    static int instancesLost(const Jobs::resources& lost, const Jobs::resources& each);
     int instancesFor(const Jobs::resources& need, const Jobs::resources& each) const;
     /// Sets `wanted` of each pool.
     static void divideInstances(pool_states&, const std::map<Common::pool_id, int>& instancesForLate);
--- a/Source/Core/Dispatch/Dispatcher.cpp
+++ b/Source/Core/Dispatch/Dispatcher.cpp
@@ -58,7 +58,7 @@
         return;
     worker.isRegistered = true;
     if (isUnregistered || worker.entry.incarnationStartedAt == entry.incarnationStartedAt) {
-        worker.entry = entry;
+        worker.updateEntry(entry);
         return;
     }
     loseAllRuns(worker, now);
--- a/Source/Core/Dispatch/WorkerState.cpp
+++ b/Source/Core/Dispatch/WorkerState.cpp
@@ -15,9 +15,16 @@
 
 worker_state::worker_state(worker_entry registered)
     : entry(std::move(registered))
+    , m_fullCapacity(entry.capacity)
 {
 }
 
+void worker_state::updateEntry(worker_entry registered)
+{
+    entry = std::move(registered);
+    m_fullCapacity = Jobs::largest(m_fullCapacity, entry.capacity);
+}
+
 void worker_state::learnClock(worker_millis clock, Common::instant receivedAt)
 {
     m_clock = clock_reading { .clock = clock, .at = receivedAt };
@@ -41,6 +48,7 @@
 void worker_state::beginIncarnation(worker_entry registered)
 {
     entry = std::move(registered);
+    m_fullCapacity = entry.capacity;
     hasReported = false;
     seenEnd = {};
     storedEnd = {};
--- a/Source/Core/Dispatch/WorkerState.h
+++ b/Source/Core/Dispatch/WorkerState.h
@@ -79,9 +79,13 @@
     worker_millis clockAt(Common::instant now) const;
     /// Deadline for an order that grants `lease` from `now`; also advances `leaseExpiryBound`.
     worker_millis grantLease(Common::instant now, Common::millis lease);
+    /// To be called with each registration of the same incarnation.
+    void updateEntry(worker_entry);
     /// Discards the state of the earlier incarnation.
     void beginIncarnation(worker_entry);
 
+    /// How much the capacity has shrunk below the largest that this incarnation had.
+    Jobs::resources lostCapacity() const { return m_fullCapacity - entry.capacity; }
     Jobs::resources used() const { return m_used; }
     Jobs::resources free() const;
     /// Whether the runs no longer fit, since the capacity has shrunk.
@@ -112,6 +116,7 @@
     void count(const task_run&, int change);
 
     std::optional<clock_reading> m_clock;
+    Jobs::resources m_fullCapacity;
     Jobs::resources m_used;
     std::array<int, runPhases> m_runsInPhase {};
     int m_longRunningRuns { 0 };
--- a/Source/Core/Jobs/Resources.h
+++ b/Source/Core/Jobs/Resources.h
@@ -38,6 +38,14 @@
         && amount.accelerators <= room.accelerators;
 }
 
+/// The larger amount of each resource.
+inline resources largest(const resources& left, const resources& right)
+{
+    return { .processor = std::max(left.processor, right.processor),
+        .memory = std::max(left.memory, right.memory),
+        .accelerators = std::max(left.accelerators, right.accelerators) };
+}
+
 /// `amount` multiplied by `count`.
 inline resources times(const resources& amount, std::int64_t count)
 {
--- a/Source/UnitTests/Core/Capacity/CapacityTest.cpp
+++ b/Source/UnitTests/Core/Capacity/CapacityTest.cpp
@@ -43,6 +43,54 @@
         return planner.plan(dispatcher, now, wall());
     }
 
+    /// The worker reports the capacity, and the next list shows it too.
+    void resize(const std::string& id, std::int64_t cores)
+    {
+        for (auto& entry : instances) {
+            if (entry.id.value != id)
+                continue;
+            entry.capacity.processor = { cores * 1000 };
+            auto registered = worker(entry.worker.value, cores);
+            registered.pool = entry.pool;
+            dispatcher.workerRegistered(registered, now, now);
+        }
+        now += stepTime;
+        list();
+    }
+
+    /// Plans until no more moves are ordered, carries them out, and returns how many there were.
+    int settle()
+    {
+        int count = 0;
+        for (int turn = 0; turn < 400; ++turn) {
+            plan();
+            for (const auto& order : planFleet().moves) {
+                ++count;
+                planner.onMove(order, instance_outcome::Done, dispatcher, now);
+                carryOut(order);
+            }
+        }
+        return count;
+    }
+
+    void carryOut(const Capacity::move_order& order)
+    {
+        for (auto& entry : instances) {
+            if (entry.id != order.instance)
+                continue;
+            entry.pool = order.pool;
+            entry.worker = {};
+            if (order.pool.value != "spare") {
+                entry.worker = { "w" + entry.id.value };
+                auto registered = worker(entry.worker.value);
+                registered.pool = order.pool;
+                join(registered);
+            }
+        }
+        now += stepTime;
+        list();
+    }
+
     std::vector<Capacity::instance_entry> instances;
     Capacity::capacity_planner planner { Capacity::sizer_options { .headroom = 0, .reserve = 0 } };
 };
@@ -206,3 +254,47 @@
     CHECK(cordoned >= 1);
     CHECK(cordoned < 4);
 }
+
+TEST_CASE("Sizes of pools follow the capacities of their workers", "[capacity]")
+{
+    capacity_fixture f;
+    f.addInstance("1", "pool");
+    f.addInstance("2", "pool");
+    f.addInstance("3", "other");
+    f.addInstance("4", "spare");
+    f.addInstance("5", "spare");
+    f.list();
+    auto job = f.job("j", { longRunningStep(16, 1) });
+    job.spec.steps[0].maxPerWorker = 0;
+    f.add(job);
+    f.plan();
+    REQUIRE(f.settle() == 0);
+
+    SECTION("one that has shrunk to 0 is replaced once")
+    {
+        f.resize("2", 0);
+        CHECK(f.settle() == 1);
+    }
+    SECTION("whatever its place in the list")
+    {
+        f.resize("1", 0);
+        CHECK(f.settle() == 1);
+    }
+    SECTION("one that has shrunk to an eighth too")
+    {
+        f.resize("2", 1);
+        CHECK(f.settle() == 1);
+    }
+    SECTION("all of them")
+    {
+        f.resize("1", 0);
+        f.resize("2", 0);
+        CHECK(f.settle() == 2);
+    }
+    SECTION("and none when it has grown again")
+    {
+        f.resize("2", 0);
+        f.resize("2", 8);
+        CHECK(f.settle() == 0);
+    }
+}
