A registration with a capacity out of range names no worker

Callers saw: nothing yet; found by a test. An entry with a capacity of 1e30 was taken for a worker with room for everything.

Cause: amounts were converted to whole numbers without a check of their range, which is undefined beyond it.

--- a/Source/UnitTests/Platform/DecodeTest.cpp
+++ b/Source/UnitTests/Platform/DecodeTest.cpp
@@ -41,6 +41,48 @@
     });
 }
 
+TEST_CASE("A worker's capacity is decoded, and an entry without a valid one names no worker", "[platform]")
+{
+    const auto decode = [](const std::string& capacity) {
+        return Platform::decodeWorker("i-1",
+            R"({"service":"s","address":"10.0.0.9:80","zone":"z","state":"ready","labels":["a","r1"],"born":5,"seq":4)"
+                + capacity + "}");
+    };
+
+    SECTION("fields that are missing are 0")
+    {
+        const auto entry = decode(R"(,"capacity":{"memMb":512})");
+        REQUIRE(entry);
+        CHECK(entry->capacity == Jobs::resources { .memory = { 512 } });
+    }
+    SECTION("a capacity of 0 is valid")
+    {
+        const auto entry = decode(R"(,"capacity":{"cpu":0,"memMb":0,"gpu":0})");
+        REQUIRE(entry);
+        CHECK(entry->capacity == Jobs::resources {});
+    }
+    SECTION("a missing one isn't") { CHECK_FALSE(decode("")); }
+    SECTION("nor one of another type")
+    {
+        CHECK_FALSE(decode(R"(,"capacity":null)"));
+        CHECK_FALSE(decode(R"(,"capacity":7)"));
+        CHECK_FALSE(decode(R"(,"capacity":[])"));
+    }
+    SECTION("nor one with a field of another type")
+    {
+        CHECK_FALSE(decode(R"(,"capacity":{"cpu":"4000"})"));
+        CHECK_FALSE(decode(R"(,"capacity":{"cpu":null})"));
+        CHECK_FALSE(decode(R"(,"capacity":{"cpu":true})"));
+        CHECK_FALSE(decode(R"(,"capacity":{"memMb":{}})"));
+    }
+    SECTION("nor one out of range")
+    {
+        CHECK_FALSE(decode(R"(,"capacity":{"cpu":1e30})"));
+        CHECK_FALSE(decode(R"(,"capacity":{"memMb":18446744073709551615})"));
+        CHECK_FALSE(decode(R"(,"capacity":{"gpu":-1})"));
+    }
+}
+
 TEST_CASE("Task names are encoded and decoded", "[platform]")
 {
     const Jobs::task_name task { { "5c0e7a21d94b36f8" }, 2, 1, 17 };
