--- a/Source/Core/Dispatch/Dispatcher.cpp
+++ b/Source/Core/Dispatch/Dispatcher.cpp
@@ -53,14 +53,16 @@
 
 void dispatcher::updateRegistration(worker_state& worker, const worker_entry& entry, Common::instant now)
 {
-    worker.isRegistered = true;
     const bool isUnregistered = worker.entry.incarnationStartedAt == Common::wall_millis();
-    if (!isUnregistered && worker.entry.incarnationStartedAt < entry.incarnationStartedAt) {
-        discardIncarnation(worker, entry, now);
+    // Kind and capacity of an earlier incarnation say nothing about the present one.
+    if (!isUnregistered && entry.incarnationStartedAt < worker.entry.incarnationStartedAt)
+        return;
+    worker.isRegistered = true;
+    if (isUnregistered || worker.entry.incarnationStartedAt == entry.incarnationStartedAt) {
+        worker.updateEntry(entry);
         return;
     }
-    if (isUnregistered || worker.entry.incarnationStartedAt == entry.incarnationStartedAt)
-        worker.entry = entry;
+    discardIncarnation(worker, entry, now);
 }
 
 void dispatcher::workerUnregistered(const Common::worker_id& id)
@@ -204,7 +206,8 @@
 bool dispatcher::isSchedulable(const worker_state& worker, Common::instant now) const
 {
     return worker.isRegistered && !worker.entry.isDraining && worker.hasReported && worker.knowsClock()
-        && !worker.isCordoned && !worker.failedAt && now >= worker.suspectedUntil && !m_evacuated.contains(worker.entry.dataCentre);
+        && !worker.isCordoned && !worker.failedAt && !worker.hasRunsOfUnknownSize() && now >= worker.suspectedUntil
+        && !m_evacuated.contains(worker.entry.dataCentre);
 }
 
 dispatch_orders dispatcher::plan(Common::instant now, Common::wall_millis wall, const leadership_status& status)
@@ -217,6 +220,7 @@
     updateCurrentLease(now, status);
     expireLeases(now, status);
     releaseUnsent(now);
+    releaseOverCapacity(now);
     for (auto* job : m_repeatedJobs)
         job->openDue(wall);
     m_observer.onPlanPart(plan_part::Stops);
--- a/Source/Core/Dispatch/Dispatcher.h
+++ b/Source/Core/Dispatch/Dispatcher.h
@@ -277,6 +277,8 @@
     static bool mayBeginProbation(const open_job&, const pool_pass&);
     /// A suspected job that has waited too long starts beside others.
     static bool isOverdue(const open_job&, Common::instant now);
+    /// Tasks of the job with a run that is being stopped.
+    std::set<Jobs::task_name> tasksBeingStopped(const Common::job_id&) const;
     void planJob(open_job&, const pool_pass&);
     void planStep(open_job&, int occurrence, int step, const pool_pass&);
     void planGang(open_job&, int occurrence, int step, placement_index&, Common::instant now);
@@ -294,6 +296,10 @@
     task_run* findRun(const placement&);
     task_run* findPlanned(const placement&);
     void releaseUnsent(Common::instant now);
+    /// Releases planned starts, the last ones first, on workers whose capacity no longer suffices.
+    void releaseOverCapacity(Common::instant now);
+    /// Releases a planned start, with all other members of a gang.
+    void releasePlanned(const placement&, Common::instant now);
     void markStored(const Jobs::job_progress&);
     /// Takes over an earlier leader's placement until the worker reports.
     void inherit(open_job&, const Jobs::task_progress&, Common::instant now);
--- a/Source/Core/Dispatch/DispatcherReplies.cpp
+++ b/Source/Core/Dispatch/DispatcherReplies.cpp
@@ -104,8 +104,10 @@
     auto entry = worker.entry;
     if (isRestarted)
         entry.incarnationStartedAt = *reply.incarnationStartedAt;
+    // Kind and capacity are known once this incarnation has registered.
+    entry.capacity = {};
     discardIncarnation(worker, entry, now);
-    worker.isRegistered = worker.isRegistered && !isOtherIncarnation;
+    worker.isRegistered = false;
     worker.nextPollAt = now + pollRetryDelay;
     return false;
 }
@@ -357,7 +359,11 @@
     if (task && supersedesInherited(listed.task, *task, listed))
         releaseRun(m_workers.at(task->worker), listed.task, now);
     const bool isWanted = task && task->phase == task_phase::Waiting && !Jobs::isFinal(job->state);
-    const task_run unknown { .run = listed.run, .phase = run_phase::Running, .hasBegun = true, .startedAt = now, .progressedAt = now };
+    const task_run unknown { .run = listed.run,
+        .phase = run_phase::Running,
+        .isSizeUnknown = true,
+        .startedAt = now,
+        .progressedAt = now };
     addRun(worker, listed.task, task ? runOf(*job, listed.task, listed.run, run_phase::Running, now) : unknown).hasBegun = true;
     if (isWanted)
         adopt(worker, *job, listed);
--- a/Source/Core/Dispatch/WorkerState.cpp
+++ b/Source/Core/Dispatch/WorkerState.cpp
@@ -15,9 +15,16 @@
 
 worker_state::worker_state(worker_entry registered)
     : entry(std::move(registered))
+    , m_fullCapacity(entry.capacity)
 {
 }
 
+void worker_state::updateEntry(worker_entry registered)
+{
+    entry = std::move(registered);
+    m_fullCapacity = Jobs::largest(m_fullCapacity, entry.capacity);
+}
+
 void worker_state::learnClock(worker_millis clock, Common::instant receivedAt)
 {
     m_clock = clock_reading { .clock = clock, .at = receivedAt };
@@ -41,6 +48,7 @@
 void worker_state::beginIncarnation(worker_entry registered)
 {
     entry = std::move(registered);
+    m_fullCapacity = entry.capacity;
     hasReported = false;
     seenEnd = {};
     storedEnd = {};
@@ -54,6 +62,7 @@
     m_used = {};
     m_runsInPhase = {};
     m_longRunningRuns = 0;
+    m_runsOfUnknownSize = 0;
     m_bestEffortRuns = 0;
     m_bestEffortProcessor = {};
 }
@@ -99,6 +108,7 @@
 void worker_state::count(const task_run& run, int change)
 {
     m_runsInPhase[static_cast<std::size_t>(run.phase)] += change;
+    m_runsOfUnknownSize += run.isSizeUnknown ? change : 0;
     m_longRunningRuns += run.isLongRunning || run.isBestEffort ? change : 0;
     if (!run.isBestEffort)
         return;
--- a/Source/Core/Dispatch/WorkerState.h
+++ b/Source/Core/Dispatch/WorkerState.h
@@ -28,6 +28,8 @@
     Common::team_id team;
     bool isLongRunning { false };
     bool isBestEffort { false };
+    /// Nothing is known of the job, so `request` is empty.
+    bool isSizeUnknown { false };
     /// The log has the placement.
     bool isLogged { false };
     /// A start order may have reached the worker.
@@ -61,7 +63,7 @@
     explicit worker_state(worker_entry);
 
     worker_entry entry;
-    /// Whether the worker is registered at present; others get no new work.
+    /// Whether the registration of this incarnation is known and holds; others get no new work.
     bool isRegistered { true };
     /// Has answered a poll under our fencing token, so orders of an earlier leader can't start anything there.
     bool hasReported { false };
@@ -101,11 +103,17 @@
     worker_millis clockAt(Common::instant now) const;
     /// Deadline for an order that grants `lease` from `now`; also advances `leaseExpiryBound`.
     worker_millis grantLease(Common::instant now, Common::millis lease);
+    /// To be called with each registration of the same incarnation.
+    void updateEntry(worker_entry);
     /// Discards the state of the earlier incarnation.
     void beginIncarnation(worker_entry);
 
+    /// How much the capacity has shrunk below the largest that this incarnation had.
+    Jobs::resources lostCapacity() const { return m_fullCapacity - entry.capacity; }
     Jobs::resources used() const { return m_used; }
     Jobs::resources free() const;
+    /// Whether the runs no longer fit, since the capacity has shrunk.
+    bool isOverCapacity() const { return !Jobs::fits({}, free()); }
     /// Processor that further best-effort tasks may use: capacity less all requests.
     Common::millicores spareProcessor() const;
     task_run& addRun(const Jobs::task_name&, const task_run&);
@@ -114,6 +122,8 @@
     void setPhase(task_run& run, run_phase);
     /// Whether any run is in the phase.
     bool hasRunsIn(run_phase phase) const { return m_runsInPhase[static_cast<std::size_t>(phase)] > 0; }
+    /// Whether there is a run that may take any part of the capacity.
+    bool hasRunsOfUnknownSize() const { return m_runsOfUnknownSize > 0; }
     bool hasBestEffortRuns() const { return m_bestEffortRuns > 0; }
     /// Whether a long-running or a best-effort task runs here.
     bool hasLongRunningRuns() const { return m_longRunningRuns > 0; }
@@ -130,10 +140,12 @@
     void count(const task_run&, int change);
 
     std::optional<clock_reading> m_clock;
+    Jobs::resources m_fullCapacity;
     Jobs::resources m_used;
     std::array<int, runPhases> m_runsInPhase {};
     int m_longRunningRuns { 0 };
     int m_bestEffortRuns { 0 };
+    int m_runsOfUnknownSize { 0 };
     /// Processor that best-effort tasks request.
     Common::millicores m_bestEffortProcessor;
 };
