Starts that are under way when a worker restarts are stopped, not forgotten

A task could run twice: a start that was sent to a worker before its restart under the same id was noticed is carried out by the new incarnation, since the order names only the worker's id. The first answer that shows the restart dropped all runs there, including this one, and the task was started elsewhere.

Unanswered starts to a worker that restarts under its id now keep their task until a stop of the run is settled.

--- a/Source/Core/Dispatch/Dispatcher.h
+++ b/Source/Core/Dispatch/Dispatcher.h
@@ -319,6 +319,8 @@
     void loseAllRuns(worker_state&, Common::instant now);
     /// Another incarnation, or another worker, answers at the worker's address.
     void discardIncarnation(worker_state&, const worker_entry&, Common::instant now);
+    /// Takes the runs from the worker whose starts aren't answered: an incarnation under the same id may carry them out.
+    std::map<Jobs::task_name, task_run> takeStartsUnderWay(worker_state&);
     worker_loss lossOf(const worker_state&, Common::instant now);
     static void markRecentStarts(const worker_state&, worker_loss&);
     bool hasCommonCause(const worker_state&) const;
--- a/Source/Core/Dispatch/DispatcherCrashes.cpp
+++ b/Source/Core/Dispatch/DispatcherCrashes.cpp
@@ -117,13 +117,31 @@
     m_losses.push_back(loss);
 }
 
+std::map<Jobs::task_name, task_run> dispatcher::takeStartsUnderWay(worker_state& worker)
+{
+    std::map<Jobs::task_name, task_run> underWay;
+    for (const auto& [name, run] : worker.runs) {
+        if (run.phase == run_phase::Starting && run.isSent)
+            underWay.emplace(name, run);
+    }
+    for (const auto& [name, run] : underWay)
+        dropRun(worker, name);
+    return underWay;
+}
+
 void dispatcher::discardIncarnation(worker_state& worker, const worker_entry& entry, Common::instant now)
 {
     observe({ .kind = dispatch_event_kind::WorkerRestarted, .worker = entry.id });
     const bool isPlanned = isEndPlanned(worker);
+    const bool hasSameId = worker.entry.incarnationStartedAt != entry.incarnationStartedAt;
+    const auto underWay = hasSameId ? takeStartsUnderWay(worker) : std::map<Jobs::task_name, task_run>();
     const auto loss = lossOf(worker, now);
     loseAllRuns(worker, now);
     worker.beginIncarnation(entry);
+    for (const auto& [name, run] : underWay) {
+        addRun(worker, name, run);
+        orderStop(worker, name, stop_reason::StartUnanswered);
+    }
     m_uncommittedEnds.erase(entry.id);
     m_acknowledgedEnds[entry.id] = {};
     for (const auto& earlier : takeLosses(loss.address))
