A long-running task isn't evicted while another of its step is on a silent worker

A worker that didn't answer its last call isn't counted as having tasks at work. The new test fails before.

--- a/Source/Core/Dispatch/DispatcherReplies.cpp
+++ b/Source/Core/Dispatch/DispatcherReplies.cpp
@@ -465,7 +465,8 @@
             continue;
         const auto worker = m_workers.find(tasks[index].worker);
         const auto other = taskAt(job.record(), name.occurrence, name.step, index);
-        const bool isAtWork = tasks[index].phase == task_phase::Placed && worker != m_workers.end()
+        // A worker that doesn't answer may have crashed.
+        const bool isAtWork = tasks[index].phase == task_phase::Placed && worker != m_workers.end() && !worker->second.failedAt
             && worker->second.runs.contains(other) && worker->second.runs.at(other).phase == run_phase::Running
             && worker->second.runs.at(other).percent >= 100;
         away += isAtWork ? 0 : 1;
--- a/Source/UnitTests/Core/Dispatch/CrashingTaskTest.cpp
+++ b/Source/UnitTests/Core/Dispatch/CrashingTaskTest.cpp
@@ -276,3 +276,20 @@
     CHECK(f.done[{ "good" }] == 8);
     CHECK_FALSE(f.isFailed("good"));
 }
+
+TEST_CASE("A long-running task isn't evicted while another one of its step is on a worker that doesn't answer", "[crash]")
+{
+    crashing_pool f(2);
+    auto spec = dispatcher_fixture::step(2, 8000);
+    spec.isLongRunning = true;
+    spec.disruptionBudget = 1;
+    f.add(dispatcher_fixture::job("lasting", { spec }));
+    f.lasting.insert({ "lasting" });
+    f.advance(seconds(1));
+    REQUIRE(f.starts.size() == 2);
+    // Its process has ended, and its lease hasn't expired yet.
+    f.machines[1].backAt = Common::instant::max();
+    f.advance(milliseconds(600));
+    f.dispatcher.evictLongRunning(f.machines[0].worker.id);
+    CHECK(f.turn().stops.empty());
+}
