Counts of crashes survive takeovers, waits and late evidence

- After a takeover suspected jobs started without probation, since the time of their last loss wasn't known.
- A loss on a worker whose address the new leader doesn't know was forgotten; it counts as a possible crash.
Tasks with stored crashes are suspected from the start.
- A wide suspected job could put more than a third of a pool's workers on probation.
- Two crashes of which the first one was confirmed last needed a third.
- A start that was given up without an answer was forgotten at a restart under the same id (TWICE); RestartedWorkerTest has a section for it, which fails before.
- A dead worker whose address another one has held back its pool until its lease expired.

--- a/Source/Core/Dispatch/Dispatcher.cpp
+++ b/Source/Core/Dispatch/Dispatcher.cpp
@@ -35,7 +35,7 @@
 
 void dispatcher::workerRegistered(const worker_entry& entry, Common::instant seenAt, Common::instant now)
 {
-    addressTaken(entry, now);
+    addressTaken(entry);
     const auto found = m_workers.find(entry.id);
     if (found == m_workers.end()) {
         auto& worker = m_workers.emplace(entry.id, worker_state(entry)).first->second;
--- a/Source/Core/Dispatch/Dispatcher.h
+++ b/Source/Core/Dispatch/Dispatcher.h
@@ -277,6 +277,9 @@
     static bool mayBeginProbation(const open_job&, const pool_pass&);
     /// A suspected job that has waited too long starts beside others.
     static bool isOverdue(const open_job&, Common::instant now);
+    /// Whether the pool has few enough workers on probation for the suspected job to start on this one.
+    static bool mayUseForSuspect(const worker_state*, const open_job&, const pool_pass&);
+    static void reserveForProbation(const placement_request&, open_job&, const pool_pass&);
     /// Tasks of the job with a run that is being stopped.
     std::set<Jobs::task_name> tasksBeingStopped(const Common::job_id&) const;
     void planJob(open_job&, const pool_pass&);
@@ -319,8 +322,8 @@
     void loseAllRuns(worker_state&, Common::instant now);
     /// Another incarnation, or another worker, answers at the worker's address.
     void discardIncarnation(worker_state&, const worker_entry&, Common::instant now);
-    /// Takes the runs from the worker whose starts aren't answered: an incarnation under the same id may carry them out.
-    std::map<Jobs::task_name, task_run> takeStartsUnderWay(worker_state&);
+    /// Takes the runs of this phase that the worker hasn't confirmed: an incarnation under the same id may begin them.
+    std::map<Jobs::task_name, task_run> takeUnconfirmed(worker_state&, run_phase);
     worker_loss lossOf(const worker_state&, Common::instant now);
     static void markRecentStarts(const worker_state&, worker_loss&);
     bool hasCommonCause(const worker_state&) const;
@@ -331,20 +334,20 @@
     void noteSilentLoss(const worker_state&, Common::instant now);
     /// Removes what was lost with workers at the address.
     std::vector<worker_loss> takeLosses(const Common::endpoint&);
-    void workerAnswers(const worker_state&, Common::instant now);
+    void workerAnswers(const worker_state&);
     /// A worker has registered; another one that was lost at its address has crashed.
-    void addressTaken(const worker_entry&, Common::instant now);
+    void addressTaken(const worker_entry&);
     void endEvidenceWait(const worker_loss&);
     void endEvidenceWaits(Common::instant now);
-    void noteCrash(const worker_loss&, Common::instant now);
+    void noteCrash(const worker_loss&);
     /// The run has lasted so long that its task doesn't crash workers.
     void clearSuspicion(const worker_state&, const Jobs::task_name&, task_state&);
     /// Puts the worker on probation for the job; false when it already was.
     static bool beginProbation(worker_state&, open_job&, Common::instant now);
     /// A start of the job was answered: the probation lasts as long as it may crash the worker.
     void probationStarted(worker_state&, const Jobs::task_name&, Common::instant now);
-    /// Whether the crash shows that the task causes such crashes.
-    static bool isCausedBy(const task_state&, const worker_loss&);
+    /// Whether the crashes show that the task causes them.
+    static bool isCausedBy(const task_state&);
     std::size_t probationsIn(const Common::pool_id&, Common::instant now) const;
     /// Processes a reply's clock, fencing and incarnation. Null when the worker is gone or another incarnation replied.
     worker_state* acceptReply(const Common::worker_id&, const order_reply&, Common::instant now);
--- a/Source/Core/Dispatch/DispatcherCrashes.cpp
+++ b/Source/Core/Dispatch/DispatcherCrashes.cpp
@@ -16,7 +16,7 @@
     /// A task that may have crashed several workers waits at most this long for the evidence. Long-running tasks must be
     /// restarted sooner.
     constexpr Common::millis maxEvidenceWait { 15000 };
-    constexpr Common::millis maxLongRunningEvidenceWait { 3500 };
+    constexpr Common::millis maxLongRunningEvidenceWait { 2500 };
     /// Losses are remembered for this time; a worker that crashed is back sooner.
     constexpr Common::millis lossLifetime { 60000 };
     /// Longest time from the planning of a start to its answer: the placement is stored first, then the order is sent.
@@ -111,21 +111,26 @@
         if (!task)
             continue;
         task->unresolvedRuns.insert(run.run);
-        job->lossAt = now;
         m_dirty.insert(run.task.job.value);
     }
     m_losses.push_back(loss);
 }
 
-std::map<Jobs::task_name, task_run> dispatcher::takeStartsUnderWay(worker_state& worker)
+std::map<Jobs::task_name, task_run> dispatcher::takeUnconfirmed(worker_state& worker, run_phase phase)
 {
     std::map<Jobs::task_name, task_run> underWay;
     for (const auto& [name, run] : worker.runs) {
-        if (run.phase == run_phase::Starting && run.isSent)
+        if (run.phase == phase && run.isSent && !run.hasBegun)
             underWay.emplace(name, run);
     }
-    for (const auto& [name, run] : underWay)
+    for (auto& [name, run] : underWay) {
         dropRun(worker, name);
+        // What the earlier incarnation answered to a stop doesn't bind the next one.
+        run.phase = run_phase::Starting;
+        run.stopSentAt.reset();
+        run.stopAcceptedAt.reset();
+        run.isStopInFlight = false;
+    }
     return underWay;
 }
 
@@ -134,8 +139,13 @@
     observe({ .kind = dispatch_event_kind::WorkerRestarted, .worker = entry.id });
     const bool isPlanned = isEndPlanned(worker);
     const bool hasSameId = worker.entry.incarnationStartedAt != entry.incarnationStartedAt;
-    const auto underWay = hasSameId ? takeStartsUnderWay(worker) : std::map<Jobs::task_name, task_run>();
+    std::map<Jobs::task_name, task_run> underWay;
+    // A start that isn't answered yet was sent after the crash; one that was given up may have caused it.
+    if (hasSameId)
+        underWay = takeUnconfirmed(worker, run_phase::Starting);
     const auto loss = lossOf(worker, now);
+    if (hasSameId)
+        underWay.merge(takeUnconfirmed(worker, run_phase::Stopping));
     loseAllRuns(worker, now);
     worker.beginIncarnation(entry);
     for (const auto& [name, run] : underWay) {
@@ -145,11 +155,11 @@
     m_uncommittedEnds.erase(entry.id);
     m_acknowledgedEnds[entry.id] = {};
     for (const auto& earlier : takeLosses(loss.address))
-        noteCrash(earlier, now);
+        noteCrash(earlier);
     if (isPlanned)
         return;
     suspectRecentStarts(loss);
-    noteCrash(loss, now);
+    noteCrash(loss);
 }
 
 std::vector<dispatcher::worker_loss> dispatcher::takeLosses(const Common::endpoint& address)
@@ -169,16 +179,16 @@
     return taken;
 }
 
-void dispatcher::workerAnswers(const worker_state& worker, Common::instant now)
+void dispatcher::workerAnswers(const worker_state& worker)
 {
     // It may have been cut off, or be the successor of a worker that crashed.
     for (const auto& loss : takeLosses(worker.entry.address)) {
         if (loss.incarnation != worker.incarnation())
-            noteCrash(loss, now);
+            noteCrash(loss);
     }
 }
 
-void dispatcher::addressTaken(const worker_entry& entry, Common::instant now)
+void dispatcher::addressTaken(const worker_entry& entry)
 {
     const worker_incarnation successor { .worker = entry.id, .startedAt = entry.incarnationStartedAt };
     const bool hasSuccessor = std::any_of(m_losses.begin(), m_losses.end(), [&](const auto& loss) {
@@ -187,7 +197,7 @@
     if (!hasSuccessor)
         return;
     for (const auto& loss : takeLosses(entry.address))
-        noteCrash(loss, now);
+        noteCrash(loss);
 }
 
 void dispatcher::endEvidenceWait(const worker_loss& loss)
@@ -208,8 +218,11 @@
             if (!task)
                 continue;
             const auto wait = job->spec(run.task).isLongRunning ? maxLongRunningEvidenceWait : maxEvidenceWait;
-            if (now - loss.lostAt >= wait)
-                task->unresolvedRuns.erase(run.run);
+            if (now - loss.lostAt < wait || task->unresolvedRuns.erase(run.run) == 0)
+                continue;
+            // Without an address, nothing can show whether the worker crashed.
+            if (loss.address.port == 0)
+                task->possibleCrashes.insert(run.run);
         }
     }
     std::erase_if(m_losses, [now](const auto& loss) { return now - loss.lostAt >= lossLifetime; });
@@ -223,7 +236,7 @@
         && task->incarnation < worker.entry.incarnationStartedAt;
 }
 
-void dispatcher::noteCrash(const worker_loss& loss, Common::instant now)
+void dispatcher::noteCrash(const worker_loss& loss)
 {
     for (const auto& run : loss.runs) {
         // The suspected job that had just started there explains the crash.
@@ -233,11 +246,11 @@
         auto* task = job && !Jobs::isFinal(job->state) ? job->noteLoss(run.task) : nullptr;
         if (!task || task->crashedRuns.contains(run.run))
             continue;
-        job->lossAt = now;
         m_dirty.insert(run.task.job.value);
         if (run.hasBegun) {
             task->crashedRuns.insert(run.run);
             task->startCrashes += run.hadJustStarted ? 1 : 0;
+            task->wasAlone = task->wasAlone || (loss.onlySuspect && run.hadJustStarted);
         } else {
             task->possibleCrashes.insert(run.run);
         }
@@ -245,16 +258,16 @@
             .task = run.task,
             .worker = loss.incarnation.worker,
             .run = run.run });
-        if (!isCausedBy(*task, loss))
+        if (!isCausedBy(*task))
             continue;
         observe({ .kind = dispatch_event_kind::CrashingTaskGivenUp, .task = run.task, .run = run.run });
         conclude(*job, Jobs::job_state::Failed);
     }
 }
 
-bool dispatcher::isCausedBy(const task_state& task, const worker_loss& loss)
+bool dispatcher::isCausedBy(const task_state& task)
 {
-    return (loss.onlySuspect && task.startCrashes >= maxStartCrashes)
+    return (task.wasAlone && task.startCrashes >= maxStartCrashes)
         || task.crashedRuns.size() + task.possibleCrashes.size() >= maxPossibleCrashes;
 }
 
@@ -282,6 +295,7 @@
         return;
     task.crashedRuns.clear();
     task.startCrashes = 0;
+    task.wasAlone = false;
     task.possibleCrashes.clear();
     task.isPrimeSuspect = false;
     m_dirty.insert(name.job.value);
--- a/Source/Core/Dispatch/DispatcherReplies.cpp
+++ b/Source/Core/Dispatch/DispatcherReplies.cpp
@@ -108,6 +108,9 @@
     entry.capacity = {};
     discardIncarnation(worker, entry, now);
     worker.isRegistered = false;
+    // Nothing runs any more on a worker whose address another one has.
+    if (isOtherIncarnation)
+        worker.leaseExpiryBound = std::min(worker.leaseExpiryBound, now);
     worker.nextPollAt = now + pollRetryDelay;
     return false;
 }
@@ -230,7 +233,7 @@
     worker.unansweredPolls = 0;
     worker.failedAt.reset();
     worker.hasReported = true;
-    workerAnswers(worker, now);
+    workerAnswers(worker);
     worker.reportedAt = now;
     for (const auto& end : reply.ended) {
         if (end.number <= worker.seenEnd)
@@ -341,7 +344,7 @@
         observe({ .kind = dispatch_event_kind::RunMissing, .task = name, .worker = worker.entry.id });
         releaseRun(worker, name, now);
     }
-    noteCrash(crash, now);
+    noteCrash(crash);
 }
 
 void dispatcher::reconcileRun(worker_state& worker, const listed_run& listed, Common::instant now)
--- a/Source/Core/Dispatch/DispatcherStarts.cpp
+++ b/Source/Core/Dispatch/DispatcherStarts.cpp
@@ -139,13 +139,16 @@
 bool dispatcher::mayStart(const task_state& task, Common::instant now) const
 {
     // Another start waits until it is known whether the workers of earlier ones crashed.
-    const bool mayReachLimit = !task.unresolvedRuns.empty()
-        && task.crashedRuns.size() + task.possibleCrashes.size() + task.unresolvedRuns.size() >= maxStartCrashes;
+    const auto possible = task.crashedRuns.size() + task.possibleCrashes.size() + task.unresolvedRuns.size();
+    const bool mayReachLimit = !task.unresolvedRuns.empty() && possible >= maxStartCrashes;
     return task.phase == task_phase::Waiting && now >= task.notBefore && (!task.awaitsConfirmation || m_isConfirmed)
         && !mayReachLimit;
 }
 
-bool dispatcher::isOverdue(const open_job& job, Common::instant now) { return now - job.lossAt >= maxProbationWait; }
+bool dispatcher::isOverdue(const open_job& job, Common::instant now)
+{
+    return job.waitsForProbationSince && now - *job.waitsForProbationSince >= maxProbationWait;
+}
 
 bool dispatcher::mayBeginProbation(const open_job& job, const pool_pass& pass)
 {
@@ -170,6 +173,23 @@
     return names;
 }
 
+bool dispatcher::mayUseForSuspect(const worker_state* worker, const open_job& job, const pool_pass& pass)
+{
+    const bool isOnProbation = worker && worker->isOnProbation(pass.now) && worker->probation->job == job.record().id;
+    return isOnProbation || (worker && pass.probations < pass.maxProbations);
+}
+
+void dispatcher::reserveForProbation(const placement_request& request, open_job& job, const pool_pass& pass)
+{
+    auto* worker = pass.workers.chooseForProbation(request);
+    if (!worker)
+        return;
+    job.waitsForProbationSince = job.waitsForProbationSince.value_or(pass.now);
+    // The worker gets no other starts meanwhile, so the job can start there soon.
+    if (mayBeginProbation(job, pass) && beginProbation(*worker, job, pass.now))
+        ++pass.probations;
+}
+
 void dispatcher::planStep(open_job& job, int occurrence, int step, const pool_pass& pass)
 {
     std::map<Common::worker_id, int> counts;
@@ -187,15 +207,13 @@
             return;
         request.avoided = task.failedOn;
         auto* worker = pass.workers.choose(request);
-        if (!worker && request.isSuspect && mayBeginProbation(job, pass)) {
-            // The worker gets no other starts meanwhile, so the job can start there soon.
-            worker = pass.workers.chooseForProbation(request);
-            if (worker && beginProbation(*worker, job, pass.now))
-                ++pass.probations;
+        if (request.isSuspect && !mayUseForSuspect(worker, job, pass)) {
+            reserveForProbation(request, job, pass);
             return;
         }
         if (!worker)
             return;
+        job.waitsForProbationSince.reset();
         ++counts[worker->entry.id];
         if (request.step->isRackSensitive && request.rack.empty())
             request.rack = worker->entry.rack;
--- a/Source/Core/Dispatch/OpenJob.cpp
+++ b/Source/Core/Dispatch/OpenJob.cpp
@@ -71,6 +71,7 @@
             task->crashedRuns.insert({ run });
         // The log doesn't tell which of them had just started.
         task->startCrashes = std::min<std::size_t>(1, task->crashedRuns.size());
+        task->isPrimeSuspect = !task->crashedRuns.empty();
         m_hasLosses = m_hasLosses || !known.crashedRuns.empty();
         task->checkpoint = known.checkpoint;
         if (known.isDone)
--- a/Source/Core/Dispatch/OpenJob.h
+++ b/Source/Core/Dispatch/OpenJob.h
@@ -28,6 +28,8 @@
     /// Runs that had begun and were lost when their worker crashed, and how many of them had just started.
     std::set<run_number> crashedRuns;
     std::size_t startCrashes { 0 };
+    /// One of these was on probation for the job.
+    bool wasAlone { false };
     /// Runs that were lost with a crashed worker that may not have begun them.
     std::set<run_number> possibleCrashes;
     /// Runs whose worker stopped answering; whether it crashed isn't known yet.
@@ -42,8 +44,7 @@
     bool awaitsConfirmation { false };
 };
 
-/// A task is given up when this many workers have crashed just after they started it, the last one while its job was on
-/// probation there.
+/// A task is given up when this many workers have crashed just after they started it, one of them on probation for its job.
 constexpr std::size_t maxStartCrashes = 2;
 /// A task is also given up when this many workers have crashed that may have run it.
 constexpr std::size_t maxPossibleCrashes = 4;
@@ -124,8 +125,8 @@
     /// The log has progress of the job, so a later leader treats it as started.
     bool isLogged { false };
     Common::instant addedAt;
-    /// When a run was last lost with its worker.
-    Common::instant lossAt;
+    /// Since when a suspected task has waited although a worker has room for it.
+    std::optional<Common::instant> waitsForProbationSince;
     /// A worker is on probation for the job until then.
     Common::instant probationUntil;
     bool hasProbation(Common::instant now) const { return now < probationUntil; }
--- a/Source/UnitTests/Core/Dispatch/RestartedWorkerTest.cpp
+++ b/Source/UnitTests/Core/Dispatch/RestartedWorkerTest.cpp
@@ -22,6 +22,12 @@
         f.incarnationStartedAt = { 2000 };
         f.accept(starts[0]);
     }
+    SECTION("which shows that it has restarted after the start had no answer")
+    {
+        f.dispatcher.onStart(starts[0], dispatcher_fixture::reply(Dispatch::order_outcome::NoAnswer), f.now);
+        f.incarnationStartedAt = { 2000 };
+        f.accept(starts[1]);
+    }
     SECTION("which has registered again")
     {
         auto restarted = dispatcher_fixture::worker("w1");
--- a/Source/UnitTests/Core/Explorer/CrashingTaskSimulationTest.cpp
+++ b/Source/UnitTests/Core/Explorer/CrashingTaskSimulationTest.cpp
@@ -50,7 +50,7 @@
 
 }
 
-TEST_CASE("A task that crashes its workers is given up, and all other jobs complete", "[explorer]")
+TEST_CASE("A task that crashes its workers is given up, and all other jobs complete", "[explorer][crash-faults]")
 {
     SECTION("without other faults, few such jobs")
     {
@@ -60,10 +60,6 @@
     {
         exploreCrashes({ .workers = 8, .stepsPerFault = 0, .crashingJobs = { 10 }, .longRunningJobs = { 5 } });
     }
-}
-
-TEST_CASE("A task that crashes its workers is given up, and all other jobs complete, under many faults", "[explorer][crash-faults]")
-{
     SECTION("without other faults, many such jobs")
     {
         exploreCrashes({ .workers = 8, .stepsPerFault = 0, .crashingJobs = { 20 } });
