A worker that is cordoned after it has failed counts as crashed

Cause: the end of a cordoned worker counts as planned. The capacity controller cordons workers within the second between their crash and the end of their leases, as they look idle to it, so some crashes weren't counted. Found by reading the gaps between the starts of that task: the fifth came before the evidence for the fourth.

A worker's end is planned only if it was cordoned while it answered. The new section failed before: 10 workers crashed until it gave up counting.

--- a/Source/Core/Dispatch/Dispatcher.cpp
+++ b/Source/Core/Dispatch/Dispatcher.cpp
@@ -112,8 +112,12 @@
 void dispatcher::setCordoned(const Common::worker_id& id, bool isCordoned)
 {
     const auto found = m_workers.find(id);
-    if (found != m_workers.end())
-        found->second.isCordoned = isCordoned;
+    if (found == m_workers.end())
+        return;
+    auto& worker = found->second;
+    // What is planned for a worker that has already failed doesn't explain its end.
+    worker.isEndPlanned = isCordoned && (worker.isEndPlanned || !worker.failedAt);
+    worker.isCordoned = isCordoned;
 }
 
 void dispatcher::addJob(const Jobs::job_record& record, const Jobs::job_progress& progress, Common::instant now)
--- a/Source/Core/Dispatch/DispatcherCrashes.cpp
+++ b/Source/Core/Dispatch/DispatcherCrashes.cpp
@@ -22,7 +22,7 @@
     /// Longest time from the planning of a start to its answer: the placement is stored first, then the order is sent.
     constexpr Common::millis maxStartTime { 1500 };
 
-    bool isEndPlanned(const worker_state& worker) { return worker.entry.isDraining || worker.isCordoned; }
+    bool isEndPlanned(const worker_state& worker) { return worker.entry.isDraining || worker.isEndPlanned; }
 
 }
 
--- a/Source/Core/Dispatch/WorkerState.h
+++ b/Source/Core/Dispatch/WorkerState.h
@@ -69,6 +69,8 @@
     bool hasReported { false };
     /// Gets no new work, since its instance is about to be moved or maintained.
     bool isCordoned { false };
+    /// Was cordoned while it answered, so that its end isn't taken for a crash.
+    bool isEndPlanned { false };
     bool isPollInFlight { false };
     Common::instant firstSeenAt;
     Common::instant nextPollAt;
--- a/Source/UnitTests/Core/Dispatch/CrashingTaskTest.cpp
+++ b/Source/UnitTests/Core/Dispatch/CrashingTaskTest.cpp
@@ -225,6 +225,21 @@
         CHECK(f.isFailed("bad"));
         CHECK(f.starts[firstTask] <= 3);
     }
+    SECTION("also when its workers are to be moved after they have crashed")
+    {
+        while (!f.isFailed("bad") && f.crashCount < 10) {
+            const auto crashes = f.crashCount;
+            while (f.crashCount == crashes && !f.isFailed("bad"))
+                f.advance(milliseconds(10));
+            f.advance(milliseconds(50));
+            for (auto& current : f.machines) {
+                if (current.backAt)
+                    f.dispatcher.setCordoned(current.worker.id, true);
+            }
+        }
+        CHECK(f.isFailed("bad"));
+        CHECK(f.crashCount == 2);
+    }
     SECTION("also when it is to run until its job is cancelled")
     {
         auto spec = dispatcher_fixture::step(2);
