--- a/Source/Core/Dispatch/DispatcherCrashes.cpp
+++ b/Source/Core/Dispatch/DispatcherCrashes.cpp
@@ -5,8 +5,8 @@
 
 /// Finds tasks that crash the workers that start them. What was lost with a worker counts as crashed once another
 /// incarnation, or another worker, answers at its address. The tasks that had started just before the crash are suspected
-/// as soon as they are lost. A suspected job shares its workers with no other suspected job, so that the next crash shows
-/// which one is the cause.
+/// as soon as they are lost. A suspected job starts on a worker on probation, on which nothing else starts at that time, so
+/// that the next crash shows whether it is the cause.
 namespace Dispatch {
 
 namespace {
--- a/Source/UnitTests/Core/Explorer/ClusterSimulation.cpp
+++ b/Source/UnitTests/Core/Explorer/ClusterSimulation.cpp
@@ -116,7 +116,7 @@
     case 4:
         if (!worker(workerId).isUp())
             return;
-        noteLostRuns(workerId, true);
+        noteLostRuns(workerId);
         worker(workerId).crash();
         publish(workerId);
         return;
--- a/Source/UnitTests/Core/Explorer/ClusterSimulation.h
+++ b/Source/UnitTests/Core/Explorer/ClusterSimulation.h
@@ -95,7 +95,7 @@
     bool isInTouch(int node) const;
     void drawCrash(const std::string& worker, const Jobs::task_name&, Dispatch::run_number);
     void crashUnder(const std::string& worker, const Jobs::task_name&);
-    void noteLostRuns(const std::string& worker, bool isFault);
+    void noteLostRuns(const std::string& worker);
     void expireRegistrationLater(const std::string& worker);
     void varyCapacity();
     void setSlots(const std::string& worker, int slots);
--- a/Source/UnitTests/Core/Explorer/ClusterSimulationWorkers.cpp
+++ b/Source/UnitTests/Core/Explorer/ClusterSimulationWorkers.cpp
@@ -55,18 +55,18 @@
 void cluster_simulation::crashUnder(const std::string& id, const Jobs::task_name& task)
 {
     m_crashes.causedCrash(task);
-    noteLostRuns(id, false);
+    noteLostRuns(id);
     const auto duration = minOutageMillis + draw(maxOutageMillis - minOutageMillis + 1);
     worker(id).crash({ .duration = Common::millis(static_cast<std::int64_t>(duration)), .refusesConnections = draw(2) == 0 });
     expireRegistrationLater(id);
 }
 
-void cluster_simulation::noteLostRuns(const std::string& id, bool isFault)
+void cluster_simulation::noteLostRuns(const std::string& id)
 {
     worker(id).tick();
     for (const auto& [task, workers] : m_running) {
         if (workers.contains(id))
-            m_crashes.wasLost(task, isFault);
+            m_crashes.wasLost(task);
     }
 }
 
--- a/Source/UnitTests/Core/Explorer/CrashRecord.cpp
+++ b/Source/UnitTests/Core/Explorer/CrashRecord.cpp
@@ -19,12 +19,7 @@
     return found == m_crashingTasks.end() ? nullptr : &found->second;
 }
 
-void crash_record::wasLost(const Jobs::task_name& task, bool isFault)
-{
-    auto& lost = m_lost[task];
-    ++lost.total;
-    lost.byFaults += isFault ? 1 : 0;
-}
+void crash_record::wasLost(const Jobs::task_name& task) { ++m_lost[task]; }
 
 std::string crash_record::started(const Jobs::task_name& task, const std::string& text)
 {
@@ -40,15 +35,14 @@
     if (crashing && state != Jobs::job_state::Failed)
         return "job " + job.value + " isn't failed, although " + std::to_string(crashesBy(*crashing))
             + " workers crashed under its task " + describe(*crashing);
-    if (crashing || state == Jobs::job_state::Completed)
+    if (!crashing && state == Jobs::job_state::Completed)
         return {};
     if (state != Jobs::job_state::Failed)
         return "job " + job.value + " isn't completed";
     const auto lost = mostLostOf(job);
-    if (lost.total >= suspicionLimit)
+    if (lost >= suspicionLimit)
         return {};
-    return "job " + job.value + " is failed, although it could be done; workers that crashed under one of its tasks: "
-        + std::to_string(lost.total);
+    return "job " + job.value + " is failed too soon; workers that crashed under one of its tasks: " + std::to_string(lost);
 }
 
 int crash_record::crashesBy(const Jobs::task_name& task) const
@@ -65,15 +59,10 @@
     return count;
 }
 
-crash_record::lost_runs crash_record::mostLostOf(const Common::job_id& job) const
+int crash_record::mostLostOf(const Common::job_id& job) const
 {
-    lost_runs most;
-    for (const auto& [task, lost] : m_lost) {
-        const bool isSuspect = lost.byFaults > 0 && lost.total >= suspicionLimit;
-        if (task.job == job && (isSuspect || lost.total > most.total))
-            most = lost;
-        if (task.job == job && isSuspect)
-            return most;
-    }
+    int most = 0;
+    for (const auto& [task, lost] : m_lost)
+        most = task.job == job ? std::max(most, lost) : most;
     return most;
 }
--- a/Source/UnitTests/Core/Explorer/CrashRecord.h
+++ b/Source/UnitTests/Core/Explorer/CrashRecord.h
@@ -14,7 +14,7 @@
     /// A task is a violation with this many starts after `crashLimit` workers have crashed under it.
     static constexpr int crashLimit = 3;
     static constexpr int startLimit = 3;
-    /// A job may be given up after this many crashes of which the simulation caused at least one.
+    /// A job may be given up after this many workers have crashed under one of its tasks.
     static constexpr int suspicionLimit = 2;
 
     void addCrashingTask(const Jobs::task_name& task) { m_crashingTasks.emplace(task.job, task); }
@@ -24,7 +24,7 @@
     /// A worker crashed because of the task.
     void causedCrash(const Jobs::task_name& task) { ++m_caused[task]; }
     /// A worker on which the task was running crashed, for whatever reason.
-    void wasLost(const Jobs::task_name&, bool isFault);
+    void wasLost(const Jobs::task_name&);
     /// Counts a start by a node in touch. Returns the violation; empty if there is none.
     std::string started(const Jobs::task_name&, const std::string& text);
     /// Returns the violation if the job ended in this state; empty if there is none.
@@ -34,15 +34,10 @@
     int crashingTaskCount() const { return static_cast<int>(m_crashingTasks.size()); }
 
 private:
-    struct lost_runs {
-        int total { 0 };
-        int byFaults { 0 };
-    };
-
-    lost_runs mostLostOf(const Common::job_id&) const;
+    int mostLostOf(const Common::job_id&) const;
 
     std::map<Common::job_id, Jobs::task_name> m_crashingTasks;
     std::map<Jobs::task_name, int> m_caused;
     std::map<Jobs::task_name, int> m_startsAfterLimit;
-    std::map<Jobs::task_name, lost_runs> m_lost;
+    std::map<Jobs::task_name, int> m_lost;
 };
--- a/Source/UnitTests/Core/Explorer/CrashingTaskSimulationTest.cpp
+++ b/Source/UnitTests/Core/Explorer/CrashingTaskSimulationTest.cpp
@@ -85,9 +85,9 @@
     crash_record record;
     const Jobs::task_name crashing { .job = { "j1" } };
     const Jobs::task_name other { .job = { "j2" } };
-    const auto crashUnder = [&record](const Jobs::task_name& task, int count, bool isFault) {
+    const auto crashUnder = [&record](const Jobs::task_name& task, int count) {
         for (int index = 0; index < count; ++index)
-            record.wasLost(task, isFault);
+            record.wasLost(task);
     };
     record.addCrashingTask(crashing);
 
@@ -103,10 +103,16 @@
     }
     SECTION("a crashing task's job that isn't failed")
     {
-        CHECK(record.checkEnd(crashing.job, Jobs::job_state::Failed).empty());
         CHECK(record.checkEnd(crashing.job, Jobs::job_state::Running)
             == "job j1 isn't failed, although 0 workers crashed under its task j1.0.0");
     }
+    SECTION("a crashing task's job that is failed after one crash")
+    {
+        record.wasLost(crashing);
+        CHECK_FALSE(record.checkEnd(crashing.job, Jobs::job_state::Failed).empty());
+        record.wasLost(crashing);
+        CHECK(record.checkEnd(crashing.job, Jobs::job_state::Failed).empty());
+    }
     SECTION("another job that isn't completed")
     {
         CHECK(record.checkEnd(other.job, Jobs::job_state::Completed).empty());
@@ -114,15 +120,15 @@
     }
     SECTION("another job that is failed")
     {
-        crashUnder(other, 1, false);
+        crashUnder(other, 1);
         CHECK(record.checkEnd(other.job, Jobs::job_state::Failed)
-            == "job j2 is failed, although it could be done; workers that crashed under one of its tasks: 1");
+            == "job j2 is failed too soon; workers that crashed under one of its tasks: 1");
     }
     SECTION("another job may fail after two crashes under one of its tasks")
     {
-        crashUnder(other, 1, true);
+        crashUnder(other, 1);
         CHECK_FALSE(record.checkEnd(other.job, Jobs::job_state::Failed).empty());
-        crashUnder(other, 1, false);
+        crashUnder(other, 1);
         CHECK(record.checkEnd(other.job, Jobs::job_state::Failed).empty());
     }
 }
