Odd entries and replies name nothing to use, and end no process

Reported by operators of other systems: one odd entry among the workers', deeply nested, with a number too large or a port out of range, ended the machines that read the list, or they stopped following it.

Deep nesting was refused already, and a port above 65535. A job with 2,000,000,000 occurrences in the past made each leader in turn run out of memory: a job has at most 256,000 tasks now.

--- a/Source/Core/Common/JsonFields.h
+++ b/Source/Core/Common/JsonFields.h
@@ -57,6 +57,19 @@
     }
 }
 
+/// Smallest and largest valid value of a number.
+struct number_range {
+    std::int64_t least { 0 };
+    std::int64_t most { 0 };
+};
+
+/// Reads an integer field of an object; `absent` when it is missing. Throws a JSON exception when the field isn't a
+/// number or is out of range. A fraction is cut off.
+std::int64_t integerField(const json&, const char* name, std::int64_t absent, const number_range&);
+
+/// Reads a text field. Empty when the value isn't an object, or the field is missing or isn't text.
+std::string textField(const json&, const char* name);
+
 /// Writes JSON text; bytes that aren't UTF-8 are replaced.
 std::string writeJson(const json&);
 
--- a/Source/Core/Jobs/Job.h
+++ b/Source/Core/Jobs/Job.h
@@ -12,6 +12,8 @@
 
 inline constexpr int maxStepsPerJob = 64;
 inline constexpr int maxTasksPerStep = 4000;
+/// Over all occurrences. A leader keeps the state of each task that is due, with all occurrences of the past.
+inline constexpr std::int64_t maxTasksPerJob = 256'000;
 
 /// A step of a job: identical tasks that may run at the same time.
 struct step_spec {
