--- a/Source/Core/ControlPlane/JobApi.cpp
+++ b/Source/Core/ControlPlane/JobApi.cpp
@@ -43,6 +43,25 @@
 void job_api::handle(const http_request& request, const responder& respond)
 {
     m_parts.eventCounters.add("calls");
+    // An earlier call may be answered by newer rules, so this one mustn't be answered before it by older ones.
+    if (!m_openChecks.empty() && hasFreshRules()) {
+        m_waitingCalls.push_back({ .after = *m_openChecks.rbegin(), .request = request, .respond = respond });
+        return;
+    }
+    admit(request, respond);
+}
+
+void job_api::answerWaitingCalls()
+{
+    while (!m_waitingCalls.empty() && (m_openChecks.empty() || m_waitingCalls.front().after < *m_openChecks.begin())) {
+        const auto next = std::move(m_waitingCalls.front());
+        m_waitingCalls.pop_front();
+        admit(next.request, next.respond);
+    }
+}
+
+void job_api::admit(const http_request& request, const responder& respond)
+{
     if (hasFreshRules()) {
         resolve(request, respond, false);
         return;
@@ -70,11 +89,15 @@
         return;
     }
     // The queue or key may have been added since the last read, so refuse only after a refresh.
-    m_parts.operators.refresh(refreshTimeout, [this, request, respond](bool isNowConfirmed) {
+    const auto check = ++m_checks;
+    m_openChecks.insert(check);
+    m_parts.operators.refresh(refreshTimeout, [this, request, respond, check](bool isNowConfirmed) {
+        m_openChecks.erase(check);
         if (isNowConfirmed)
             resolve(request, respond, true);
         else
             refuse(respond, 503, "view_too_old", {});
+        answerWaitingCalls();
     });
 }
 
--- a/Source/Core/ControlPlane/JobApi.h
+++ b/Source/Core/ControlPlane/JobApi.h
@@ -8,7 +8,10 @@
 #include "Records/FailoverAppender.h"
 #include "Records/PartitionReaderGroup.h"
 
+#include <cstdint>
+#include <deque>
 #include <memory>
+#include <set>
 
 namespace ControlPlane {
 
@@ -46,6 +49,15 @@
     void handle(const EventLoop::http_request&, const EventLoop::responder&);
 
 private:
+    /// A call that waits until the checks that were open at its arrival are closed.
+    struct waiting_call {
+        std::uint64_t after { 0 };
+        EventLoop::http_request request;
+        EventLoop::responder respond;
+    };
+
+    void admit(const EventLoop::http_request&, const EventLoop::responder&);
+    void answerWaitingCalls();
     void resolve(const EventLoop::http_request&, const EventLoop::responder&, bool isConfirmed);
     void serve(const Entry::api_call&, const EventLoop::http_request&, const EventLoop::responder&);
     void submit(const Entry::api_call&, const EventLoop::http_request&, const EventLoop::responder&);
@@ -61,6 +73,11 @@
 
     job_api_parts m_parts;
     std::optional<Rules::fleet_rules> m_rules;
+    /// Checks for newer rules, by number: a call named a queue or key that the present rules don't have.
+    std::uint64_t m_checks { 0 };
+    std::set<std::uint64_t> m_openChecks;
+    /// In order of arrival.
+    std::deque<waiting_call> m_waitingCalls;
 };
 
 }
--- a/Source/UnitTests/Core/ControlPlane/JobApiTest.cpp
+++ b/Source/UnitTests/Core/ControlPlane/JobApiTest.cpp
@@ -239,3 +239,50 @@
     CHECK(s.cancelled.empty());
     CHECK(s.jobRegistry.stateOf(s.job) == Jobs::job_state::Pending);
 }
+
+TEST_CASE("No call is answered by older rules than one that arrived before it", "[station]")
+{
+    job_api_fixture s;
+    std::vector<std::string> answers;
+    const auto call = [&s, &answers](const std::string& target) {
+        s.api.handle({ .method = "GET", .target = target, .headers = { { "Host", "h" }, { "Authorization", "Bearer key" } } },
+            [&answers, target](const EventLoop::http_response& response) {
+                answers.push_back(target + ' ' + std::to_string(response.status));
+            });
+    };
+    const Records::topic_partition operators { "op", 0 };
+    // The store's answers take long, for example because many instances read at the same time.
+    s.store.silentPartitions.insert(operators);
+    call("/added/");
+    s.timers.advance(Common::millis(300));
+    call("/q/");
+    s.timers.advance(Common::millis(300));
+    CHECK(answers.empty());
+
+    SECTION("the rules are read meanwhile")
+    {
+        s.store.silentPartitions.clear();
+        Rules::fleet_rules newer;
+        newer.queues = { { .id = { "added" }, .host = "h", .pathPrefix = "/added/", .pool = { "p" }, .isPublic = true } };
+        s.api.setRules(newer);
+        s.timers.advance(Common::millis(4000));
+        // The first read is given up after its timeout; the calls have either the newer rules or none.
+        for (const auto& answer : answers)
+            CHECK_FALSE(answer == "/q/ 200");
+        CHECK(answers.size() == 2);
+    }
+    SECTION("they can't be read: the first call is refused, and the second served by the rules that are known")
+    {
+        s.timers.advance(Common::millis(700));
+        CHECK(answers == std::vector<std::string> { "/added/ 503", "/q/ 200" });
+    }
+    SECTION("a call that arrives after the check waits for no other")
+    {
+        s.store.silentPartitions.clear();
+        s.timers.advance(Common::millis(3000));
+        answers.clear();
+        call("/q/");
+        s.timers.advance(Common::millis(50));
+        CHECK(answers == std::vector<std::string> { "/q/ 200" });
+    }
+}
