The event loop can go on after an exception of a callback

Reported by operators of other systems: one malformed message or unexpected error took a whole process down. It could happen here: nothing caught an exception on its way out of the loop.

--- a/Source/Core/EventLoop/EventLoop.cpp
+++ b/Source/Core/EventLoop/EventLoop.cpp
@@ -2,6 +2,7 @@
 
 #include "EventLoop/HttpMessages.h"
 
+#include <exception>
 #include <utility>
 
 #include <boost/asio/io_context.hpp>
@@ -38,7 +39,21 @@
 
 event_loop::~event_loop() = default;
 
-void event_loop::run() { m_context->run(); }
+void event_loop::run()
+{
+    while (true) {
+        try {
+            m_context->run();
+            return;
+        } catch (const std::exception& error) {
+            if (!m_onFailure)
+                throw;
+            m_onFailure(error);
+        }
+    }
+}
+
+void event_loop::onFailure(std::function<void(const std::exception&)> action) { m_onFailure = std::move(action); }
 
 void event_loop::stop() { m_context->stop(); }
 
--- a/Source/Core/EventLoop/EventLoop.h
+++ b/Source/Core/EventLoop/EventLoop.h
@@ -2,6 +2,7 @@
 
 #include "Common/Clock.h"
 
+#include <exception>
 #include <functional>
 #include <memory>
 
@@ -19,7 +20,10 @@
     event_loop(const event_loop&) = delete;
     event_loop& operator=(const event_loop&) = delete;
 
+    /// Returns after stop(). An exception of a callback ends it too, unless onFailure() was called.
     void run();
+    /// Calls `action` with each exception that a callback doesn't catch; the loop then goes on with the next callback.
+    void onFailure(std::function<void(const std::exception&)> action);
     void stop();
     /// Allows another run() after stop().
     void restart();
@@ -34,6 +38,7 @@
     struct signal_handler;
     std::unique_ptr<boost::asio::io_context> m_context;
     std::unique_ptr<signal_handler> m_signals;
+    std::function<void(const std::exception&)> m_onFailure;
 };
 
 }
--- a/Source/UnitTests/Core/EventLoop/ListenerTest.cpp
+++ b/Source/UnitTests/Core/EventLoop/ListenerTest.cpp
@@ -5,6 +5,7 @@
 #include "RawConnection.h"
 
 #include <catch2/catch.hpp>
+#include <stdexcept>
 
 namespace {
 
@@ -287,3 +288,15 @@
     CHECK(::recv(handle, &byte, 1, MSG_DONTWAIT) == 0);
     ::close(handle);
 }
+
+TEST_CASE("The event loop goes on after an exception of a callback", "[eventloop]")
+{
+    EventLoop::event_loop loop;
+    std::vector<std::string> failures;
+    loop.onFailure([&failures](const std::exception& error) { failures.emplace_back(error.what()); });
+    loop.after(Common::millis(1), [] { throw std::runtime_error("first"); });
+    loop.after(Common::millis(2), [] { throw std::out_of_range("second"); });
+    loop.after(Common::millis(20), [&loop] { loop.stop(); });
+    loop.run();
+    CHECK(failures == std::vector<std::string> { "first", "second" });
+}
