One record or callback that fails ends neither the process nor its readers

Reported by operators of other systems: one malformed message or unexpected error took a whole process down. Here an exception of any callback ended the process, and one thrown while a record was applied would have ended it again after each restart, since the record is read again.

A reader passes over a record that can't be handled, with a line record_failed. Other exceptions are logged (callback_failed) and counted; a leader ends its term without a release, since a decision may have been applied in part, and the next one starts from the log.

--- a/Source/Core/ControlPlane/EntryNode.cpp
+++ b/Source/Core/ControlPlane/EntryNode.cpp
@@ -177,6 +177,7 @@
         });
     if (!m_callerListener->start() || !m_readinessListener->start() || !startMetrics())
         return false;
+    m_parts.loop.onFailure([this](const std::exception& error) { contain(error); });
     m_leadership->start();
     startReadingJobs();
     watchLoad();
@@ -184,6 +185,15 @@
     return true;
 }
 
+void entry_node::contain(const std::exception& error)
+{
+    m_eventCounters.add("callbacks_failed");
+    Common::writeEvent(
+        Common::log_level::Error, Common::log_category::Daemon, "callback_failed", { { "reason", error.what() } });
+    // A decision may have been applied in part; the next leader starts from the log.
+    m_leadership->discardTerm();
+}
+
 void entry_node::watchLoad()
 {
     m_timers->after(loadInterval, [this, due = m_timers->now() + loadInterval] {
--- a/Source/Core/ControlPlane/EntryNode.h
+++ b/Source/Core/ControlPlane/EntryNode.h
@@ -61,6 +61,8 @@
 private:
     struct loop_timers;
 
+    /// Goes on after an unexpected error in a callback.
+    void contain(const std::exception&);
     bool isReady() const;
     void answerReadiness(const EventLoop::http_request&, const EventLoop::responder&) const;
     bool startMetrics();
--- a/Source/Core/ControlPlane/LeadershipManager.cpp
+++ b/Source/Core/ControlPlane/LeadershipManager.cpp
@@ -69,6 +69,17 @@
     endTerm();
 }
 
+void leadership_manager::discardTerm()
+{
+    const auto term = std::exchange(m_term, nullptr);
+    if (!term)
+        return;
+    m_claimsFrom = m_parts.timers.now() + m_claimBackoff;
+    term->stop();
+    m_parts.intake.setInterval(standbyIntakeInterval);
+    m_election->returnToStandby();
+}
+
 void leadership_manager::onElected(const won_election& won)
 {
     m_parts.intake.setInterval(leaderIntakeInterval);
--- a/Source/Core/ControlPlane/LeadershipManager.h
+++ b/Source/Core/ControlPlane/LeadershipManager.h
@@ -52,6 +52,8 @@
     const leader_load* load() const { return m_term ? &m_term->load() : nullptr; }
     /// Releases leadership and makes no further claims.
     void stepDown();
+    /// Ends the term, if any, without a release: what it had planned can't be relied on. Others claim first.
+    void discardTerm();
     bool isConfirmedLeader() const { return m_election->status().isConfirmed(m_parts.timers.now()); }
     void setRules(const Rules::fleet_rules&);
     void setEvacuated(const std::set<Common::data_centre_id>&);
--- a/Source/Core/Records/PartitionReader.cpp
+++ b/Source/Core/Records/PartitionReader.cpp
@@ -1,6 +1,9 @@
 #include "Records/PartitionReader.h"
 
+#include "Common/Logging.h"
+
 #include <algorithm>
+#include <exception>
 #include <utility>
 
 namespace Records {
@@ -105,7 +108,7 @@
     }
     m_sink.reset();
     for (const auto& record : m_newest)
-        m_sink.apply(record);
+        apply(record);
     // Later pages may have records from after the end of the first page; reading from that end repeats them.
     m_next = *m_newestEnd;
     m_newest.clear();
@@ -245,11 +248,23 @@
         readNext();
 }
 
+void partition_reader::apply(const keyed_record& record)
+{
+    // One record that can't be handled must neither end the process nor keep the reader from those that follow.
+    try {
+        m_sink.apply(record);
+    } catch (const std::exception& error) {
+        Common::writeEvent(Common::log_level::Error, Common::log_category::Store, "record_failed",
+            { { "topic", m_options.partition.topic }, { "key", record.key },
+                { "offset", std::to_string(record.offset.value) }, { "reason", error.what() } });
+    }
+}
+
 void partition_reader::applyAll(const read_result& result)
 {
     for (const auto& record : result.records) {
         if (record.offset >= m_next)
-            m_sink.apply(record);
+            apply(record);
     }
     m_next = std::max(m_next, result.next);
     applyContiguous();
@@ -276,7 +291,7 @@
             ++offset.value;
             if (record.offset < m_next)
                 continue;
-            m_sink.apply(record);
+            apply(record);
             m_next = offset;
         }
         m_sink.batchApplied();
--- a/Source/Core/Records/PartitionReader.h
+++ b/Source/Core/Records/PartitionReader.h
@@ -90,6 +90,7 @@
     read_request nextRequest(Common::millis wait) const;
     void adaptLimit(const read_result&, Common::instant began);
     void onRead(const read_result&, Common::instant began, bool isLoop);
+    void apply(const keyed_record&);
     void applyAll(const read_result&);
     void applyContiguous();
     void confirm(Common::instant began);
--- a/Source/UnitTests/Core/Records/PartitionReaderTest.cpp
+++ b/Source/UnitTests/Core/Records/PartitionReaderTest.cpp
@@ -2,6 +2,7 @@
 #include "Records/PartitionReaderGroup.h"
 
 #include <catch2/catch.hpp>
+#include <stdexcept>
 
 namespace {
 
@@ -304,3 +305,31 @@
         CHECK(s.sink.applied == before + 1);
     }
 }
+
+TEST_CASE("A record that can't be handled keeps no reader from those that follow", "[records]")
+{
+    struct failing_sink : recording_sink {
+        void apply(const Records::keyed_record& record) override
+        {
+            if (record.key == "odd")
+                throw std::out_of_range("odd");
+            recording_sink::apply(record);
+        }
+    };
+    manual_timers timers;
+    fake_store store(timers);
+    failing_sink sink;
+    const Records::topic_partition topic { "t", 0 };
+    const auto reader = std::make_shared<Records::partition_reader>(
+        store, timers, Records::partition_reader_options { .partition = topic }, sink);
+    store.put(topic, "odd", "1");
+    store.put(topic, "plain", "1");
+    reader->start();
+    timers.advance(Common::millis(50));
+    CHECK(sink.inForce == std::map<std::string, std::string> { { "plain", "1" } });
+    store.put(topic, "odd", "2");
+    store.put(topic, "plain", "2");
+    timers.advance(Common::millis(2500));
+    CHECK(sink.inForce == std::map<std::string, std::string> { { "plain", "2" } });
+    CHECK(reader->next() == Common::log_offset { 4 });
+}
