--- a/Source/Core/ControlPlane/JobFeeds.cpp
+++ b/Source/Core/ControlPlane/JobFeeds.cpp
@@ -41,33 +41,36 @@
             .link = { object.value("megabits", unknown.link.value) } };
     }
 
-    std::optional<Jobs::caller_scope> decodeScope(const std::string& value)
+    /// Empty when the text isn't JSON or `read` finds a field missing or of another type.
+    template <typename Read>
+    auto readValue(const std::string& value, Read read) -> std::optional<decltype(read(Common::json()))>
     {
         const auto parsed = Common::parseJson(value);
         if (!parsed)
             return std::nullopt;
         try {
-            return Jobs::caller_scope { .queue = parsed->at("queue").get<Common::queue_id>(),
-                .team = parsed->at("team").get<Common::team_id>() };
+            return read(*parsed);
         } catch (const Common::json::exception&) {
             return std::nullopt;
         }
     }
 
-    /// Empty when the record isn't readable, so that it changes nothing.
+    std::optional<Jobs::caller_scope> decodeScope(const std::string& value)
+    {
+        return readValue(value, [](const Common::json& in) {
+            return Jobs::caller_scope { .queue = in.at("queue").get<Common::queue_id>(),
+                .team = in.at("team").get<Common::team_id>() };
+        });
+    }
+
     std::optional<claim_record> decodeClaim(const std::string& value)
     {
-        const auto parsed = Common::parseJson(value);
-        if (!parsed)
-            return std::nullopt;
-        try {
-            return claim_record { .member = parsed->at("member").get<std::string>(),
-                .number = parsed->at("number").get<std::int64_t>(),
-                .capacity = readCapacity(*parsed),
-                .publishesStates = parsed->value("states", false) };
-        } catch (const Common::json::exception&) {
-            return std::nullopt;
-        }
+        return readValue(value, [](const Common::json& in) {
+            return claim_record { .member = in.at("member").get<std::string>(),
+                .number = in.at("number").get<std::int64_t>(),
+                .capacity = readCapacity(in),
+                .publishesStates = in.value("states", false) };
+        });
     }
 
     struct release_record {
@@ -77,30 +80,20 @@
 
     std::optional<release_record> decodeRelease(const std::string& value)
     {
-        const auto parsed = Common::parseJson(value);
-        if (!parsed)
-            return std::nullopt;
-        try {
-            return release_record { .number = parsed->at("number").get<std::int64_t>(),
-                .successor = Common::textField(*parsed, "successor") };
-        } catch (const Common::json::exception&) {
-            return std::nullopt;
-        }
+        return readValue(value, [](const Common::json& in) {
+            return release_record { .number = in.at("number").get<std::int64_t>(),
+                .successor = Common::textField(in, "successor") };
+        });
     }
 
     std::optional<handover_request> decodeHandover(const std::string& value)
     {
-        const auto parsed = Common::parseJson(value);
-        if (!parsed)
-            return std::nullopt;
-        try {
-            return handover_request { .member = parsed->at("member").get<std::string>(),
-                .claim = parsed->at("claim").get<std::int64_t>(),
-                .capacity = readCapacity(*parsed),
+        return readValue(value, [](const Common::json& in) {
+            return handover_request { .member = in.at("member").get<std::string>(),
+                .claim = in.at("claim").get<std::int64_t>(),
+                .capacity = readCapacity(in),
                 .offset = {} };
-        } catch (const Common::json::exception&) {
-            return std::nullopt;
-        }
+        });
     }
 
     /// A state is written as its number, one digit.
@@ -114,19 +107,14 @@
 
     std::optional<Capacity::wave_status> decodeWave(const std::string& value)
     {
-        const auto parsed = Common::parseJson(value);
-        if (!parsed)
-            return std::nullopt;
-        try {
+        return readValue(value, [](const Common::json& in) {
             Capacity::wave_status status;
-            status.wave = parsed->at("wave").get<std::int64_t>();
-            status.isCompleted = parsed->at("over").get<bool>();
-            for (const auto& id : parsed->at("begun"))
+            status.wave = in.at("wave").get<std::int64_t>();
+            status.isCompleted = in.at("over").get<bool>();
+            for (const auto& id : in.at("begun"))
                 status.begun.insert(id.get<Common::instance_id>());
             return status;
-        } catch (const Common::json::exception&) {
-            return std::nullopt;
-        }
+        });
     }
 
 }
--- a/Source/Core/ControlPlane/LeaderElection.h
+++ b/Source/Core/ControlPlane/LeaderElection.h
@@ -67,7 +67,7 @@
     };
 
     void watch();
-    /// Notes whether the leader has stored anything since.
+    /// Notes whether the leader has stored anything since the last call.
     void noteRecords(Common::instant now);
     /// Follows only the end of the progress while the leader is active and publishes the states of jobs: what the leader
     /// has stored is read when it falls silent, before its leadership counts as vacant.
--- a/Source/Core/ControlPlane/LeaderTerm.cpp
+++ b/Source/Core/ControlPlane/LeaderTerm.cpp
@@ -427,7 +427,9 @@
 void leader_term::applyStored(const Jobs::job_progress& progress)
 {
     m_parts.jobRegistry.advance(progress);
-    m_states->publish(progress.job, progress.state);
+    // The term may have ended while the answers to one append are handled.
+    if (m_states)
+        m_states->publish(progress.job, progress.state);
 }
 
 void leader_term::observe(const Dispatch::dispatch_event& event)
--- a/Source/Core/Records/PartitionReader.h
+++ b/Source/Core/Records/PartitionReader.h
@@ -53,8 +53,8 @@
     void start();
     /// A shorter interval takes effect at once.
     void setInterval(Common::millis readInterval);
-    /// Following the records again begins with the newest ones, as in start(). With barriers that are still open, only
-    /// records are followed.
+    /// Following the records again begins with the newest ones, as in start(). Following only the end has no effect while
+    /// a refresh() is open.
     void setFollowing(partition_following);
     partition_following following() const { return m_following; }
     /// Whether reads wait at the store for records. Otherwise it is read at each interval.
