A run that was answered just after its worker had restarted isn't taken for lost

Cause: the leader attributed an answer to the incarnation that it knew when the answer arrived. Answers to orders don't name it, only registrations and lists of runs do.

An order carries the incarnation that was known when it was sent. Runs that an incarnation has listed end with it, any other run stays until the next incarnation has answered a poll that was sent later. Only lists teach a worker's clock, and after a restart leases count as granted for holdMaxMs, since deadlines were set on another clock. Lists, 421 answers and accepted stops of an earlier incarnation say nothing of the present one. New log event run_undetermined. This works whichever way and however late the restart is noticed.

A task that vanishes while leadership isn't confirmed also waits for the confirmation now, as one that is lost with its worker.

The fixture's and the simulation's workers named their incarnation in answers to orders, which hid the fault; they no longer do. CapacityChangeTest answers one poll less, since the list that shows a restart is used.

--- a/Source/Core/ControlPlane/DispatchLog.cpp
+++ b/Source/Core/ControlPlane/DispatchLog.cpp
@@ -109,6 +109,8 @@
         return "worker_lapsed";
     case WorkerRestarted:
         return "worker_reborn";
+    case RunUndetermined:
+        return "run_undetermined";
     case CrashNoted:
         return "crash_noted";
     case CrashSuspected:
--- a/Source/Core/ControlPlane/EntryNode.cpp
+++ b/Source/Core/ControlPlane/EntryNode.cpp
@@ -164,7 +164,7 @@
             .handoverTopic = m_parts.topics.handovers,
             .stateTopic = m_parts.topics.states,
             .statusTopic = m_parts.topics.status,
-            .stopTime = m_settings.stopTime });
+            .workerBounds = m_settings.workerBounds });
     m_callerListener = std::make_unique<EventLoop::http_listener>(
         m_parts.loop, m_settings.callers,
         EventLoop::listener_limits {}, [this](const EventLoop::http_request& request, const EventLoop::responder& respond) {
--- a/Source/Core/ControlPlane/EntryNodeSettings.h
+++ b/Source/Core/ControlPlane/EntryNodeSettings.h
@@ -2,6 +2,7 @@
 
 #include "Common/Endpoint.h"
 #include "ControlPlane/LeaderCapacity.h"
+#include "Dispatch/Orders.h"
 
 #include <optional>
 #include <string>
@@ -27,8 +28,7 @@
     /// Time for which the load balancer may send new connections after the instance has reported not ready. It checks
     /// once a second and removes an instance after two failed checks.
     Common::millis balancerRemovalTime { 2500 };
-    /// Longest time that a worker takes to stop a task.
-    Common::millis stopTime { 200 };
+    Dispatch::worker_bounds workerBounds;
 };
 
 }
--- a/Source/Core/ControlPlane/LeaderTerm.cpp
+++ b/Source/Core/ControlPlane/LeaderTerm.cpp
@@ -44,7 +44,7 @@
     , m_options(options)
     , m_dispatcher({ .token = options.token,
                        .runBase = { (options.number - 1) * runsPerTerm },
-                       .stopTime = options.stopTime },
+                       .bounds = options.workerBounds },
           parts.timers.now(), *this)
     , m_appender(std::make_shared<Records::batch_appender>(parts.store, parts.timers,
           Records::appender_options { .partition = options.progressTopic,
--- a/Source/Core/ControlPlane/LeaderTerm.h
+++ b/Source/Core/ControlPlane/LeaderTerm.h
@@ -41,7 +41,7 @@
     Records::topic_partition stateTopic;
     Records::topic_partition statusTopic;
     std::string writer;
-    Common::millis stopTime { 200 };
+    Dispatch::worker_bounds workerBounds;
 };
 
 /// One term of the leader: passes events to the dispatcher, sends its orders and stores its progress.
--- a/Source/Core/ControlPlane/LeadershipManager.cpp
+++ b/Source/Core/ControlPlane/LeadershipManager.cpp
@@ -102,7 +102,7 @@
             .stateTopic = m_options.stateTopic,
             .statusTopic = m_options.statusTopic,
             .writer = leaderWriter,
-            .stopTime = m_options.stopTime },
+            .workerBounds = m_options.workerBounds },
         [this] { endTerm(); });
     m_term->startHeartbeats();
     // The workers and jobs of earlier leaders must be known before anything is started.
--- a/Source/Core/ControlPlane/LeadershipManager.h
+++ b/Source/Core/ControlPlane/LeadershipManager.h
@@ -33,8 +33,7 @@
     Records::topic_partition handoverTopic;
     Records::topic_partition stateTopic;
     Records::topic_partition statusTopic;
-    /// Longest time that a worker takes to stop a task.
-    Common::millis stopTime { 200 };
+    Dispatch::worker_bounds workerBounds;
 };
 
 /// Takes part in leader election and runs the terms that it wins.
--- a/Source/Core/Dispatch/Dispatcher.h
+++ b/Source/Core/Dispatch/Dispatcher.h
@@ -17,8 +17,7 @@
     /// Earlier leaders used run numbers up to this one; this leader's are higher.
     run_number runBase;
     lease_options lease;
-    /// Longest time a worker takes to carry out a stop that it accepted.
-    Common::millis stopTime { 200 };
+    worker_bounds bounds;
     /// If no list of instances arrives in this time, the registered workers are taken to be all there are.
     Common::millis instanceListTimeout { 3000 };
 };
@@ -50,6 +49,8 @@
     WorkerUnresponsive,
     WorkerLeaseExpired,
     WorkerRestarted,
+    /// Its worker has restarted, and only the worker's next list shows whether the run was lost.
+    RunUndetermined,
     /// A run was lost when its worker crashed.
     CrashNoted,
     /// The task's job is run apart from other suspected jobs.
@@ -319,11 +320,34 @@
     /// Drops the run and returns the task to the waiting ones.
     void releaseRun(worker_state&, Jobs::task_name, Common::instant notBefore);
     void orderStop(worker_state&, const Jobs::task_name&, stop_reason);
+    /// The run has ended, and how isn't known.
+    void loseRun(worker_state&, const Jobs::task_name&, Common::instant now);
     void loseAllRuns(worker_state&, Common::instant now);
+    /// Whom an answer describes.
+    enum class reply_origin {
+        /// The known incarnation, unless a later one has answered without its name.
+        Known,
+        /// An incarnation that has ended, or what was known of it.
+        Outdated,
+        NextIncarnation,
+        /// Another worker has the address.
+        OtherWorker
+    };
+
+    static reply_origin originOf(const worker_state&, const worker_address& recipient, const order_reply&);
+    /// Discards the known incarnation if the answer shows that it has ended.
+    void noteOrigin(worker_state&, reply_origin, const order_reply&, Common::instant now);
     /// Another incarnation, or another worker, answers at the worker's address.
     void discardIncarnation(worker_state&, const worker_entry&, Common::instant now);
-    /// Takes the runs of this phase that the worker hasn't confirmed: an incarnation under the same id may begin them.
-    std::map<Jobs::task_name, task_run> takeUnconfirmed(worker_state&, run_phase);
+    /// Takes the runs that the worker hasn't listed, either those whose start isn't answered or all others.
+    std::map<Jobs::task_name, task_run> takeUnlisted(worker_state&, bool isStarting);
+    /// The runs may be of the worker's next incarnation.
+    void carryOver(worker_state&, const std::map<Jobs::task_name, task_run>& unlisted);
+    /// Takes the answered runs from the loss of which it isn't known whether they were lost.
+    static worker_loss takeOpenLoss(worker_loss&, const std::map<Jobs::task_name, task_run>& unlisted);
+    /// The worker's list of runs shows which of the unlisted ones the earlier incarnation has lost.
+    void settleOpenLoss(const worker_state&, const std::set<std::pair<Jobs::task_name, run_number>>& listed,
+        Common::instant sentAt);
     worker_loss lossOf(const worker_state&, Common::instant now);
     static void markRecentStarts(const worker_state&, worker_loss&);
     bool hasCommonCause(const worker_state&) const;
@@ -349,10 +373,9 @@
     /// Whether the crashes show that the task causes them.
     static bool isCausedBy(const task_state&);
     std::size_t probationsIn(const Common::pool_id&, Common::instant now) const;
-    /// Processes a reply's clock, fencing and incarnation. Null when the worker is gone or another incarnation replied.
-    worker_state* acceptReply(const Common::worker_id&, const order_reply&, Common::instant now);
-    void applyReply(worker_state&, const order_reply&, Common::instant now);
-    bool checkIncarnation(worker_state&, const order_reply&, Common::instant now);
+    /// Processes a reply's fencing and origin. Null when the worker is gone or another one has its address.
+    worker_state* acceptReply(const worker_address& recipient, const order_reply&, Common::instant now);
+    void noteFence(const worker_state&, const order_reply&);
     void suspect(worker_state&, Common::instant now, Common::millis time);
     void handleEnd(worker_state&, const listed_end&, Common::instant now);
     void handleDone(open_job&, const listed_end&);
@@ -394,6 +417,8 @@
     std::set<std::string> m_dirty;
     /// Losses with workers that haven't answered since.
     std::vector<worker_loss> m_losses;
+    /// For each worker that has restarted, the answered runs of which it isn't known whether they were lost.
+    std::map<Common::worker_id, worker_loss> m_openLosses;
     /// For each worker, the number of the last ended run whose end the next batch includes.
     std::map<Common::worker_id, end_number> m_uncommittedEnds;
     /// For each worker, the number of the last ended run that was acknowledged to it.
--- a/Source/Core/Dispatch/DispatcherCrashes.cpp
+++ b/Source/Core/Dispatch/DispatcherCrashes.cpp
@@ -22,8 +22,6 @@
     /// Longest time from the planning of a start to its answer: the placement is stored first, then the order is sent.
     constexpr Common::millis maxStartTime { 1500 };
 
-    bool isEndPlanned(const worker_state& worker) { return worker.entry.isDraining || worker.isEndPlanned; }
-
 }
 
 dispatcher::worker_loss dispatcher::lossOf(const worker_state& worker, Common::instant now)
@@ -99,7 +97,7 @@
 
 void dispatcher::noteSilentLoss(const worker_state& worker, Common::instant now)
 {
-    if (isEndPlanned(worker))
+    if (worker.isEndExpected())
         return;
     const auto loss = lossOf(worker, now);
     if (loss.runs.empty())
@@ -116,52 +114,6 @@
     m_losses.push_back(loss);
 }
 
-std::map<Jobs::task_name, task_run> dispatcher::takeUnconfirmed(worker_state& worker, run_phase phase)
-{
-    std::map<Jobs::task_name, task_run> underWay;
-    for (const auto& [name, run] : worker.runs) {
-        if (run.phase == phase && run.isSent && !run.hasBegun)
-            underWay.emplace(name, run);
-    }
-    for (auto& [name, run] : underWay) {
-        dropRun(worker, name);
-        // What the earlier incarnation answered to a stop doesn't bind the next one.
-        run.phase = run_phase::Starting;
-        run.stopSentAt.reset();
-        run.stopAcceptedAt.reset();
-        run.isStopInFlight = false;
-    }
-    return underWay;
-}
-
-void dispatcher::discardIncarnation(worker_state& worker, const worker_entry& entry, Common::instant now)
-{
-    observe({ .kind = dispatch_event_kind::WorkerRestarted, .worker = entry.id });
-    const bool isPlanned = isEndPlanned(worker);
-    const bool hasSameId = worker.entry.incarnationStartedAt != entry.incarnationStartedAt;
-    std::map<Jobs::task_name, task_run> underWay;
-    // A start that isn't answered yet was sent after the crash; one that was given up may have caused it.
-    if (hasSameId)
-        underWay = takeUnconfirmed(worker, run_phase::Starting);
-    const auto loss = lossOf(worker, now);
-    if (hasSameId)
-        underWay.merge(takeUnconfirmed(worker, run_phase::Stopping));
-    loseAllRuns(worker, now);
-    worker.beginIncarnation(entry);
-    for (const auto& [name, run] : underWay) {
-        addRun(worker, name, run);
-        orderStop(worker, name, stop_reason::StartUnanswered);
-    }
-    m_uncommittedEnds.erase(entry.id);
-    m_acknowledgedEnds[entry.id] = {};
-    for (const auto& earlier : takeLosses(loss.address))
-        noteCrash(earlier);
-    if (isPlanned)
-        return;
-    suspectRecentStarts(loss);
-    noteCrash(loss);
-}
-
 std::vector<dispatcher::worker_loss> dispatcher::takeLosses(const Common::endpoint& address)
 {
     std::vector<worker_loss> taken;
@@ -228,14 +180,6 @@
     std::erase_if(m_losses, [now](const auto& loss) { return now - loss.lostAt >= lossLifetime; });
 }
 
-bool dispatcher::isOfEarlierIncarnation(const worker_state& worker, const Jobs::task_name& name)
-{
-    auto* job = findJob(name.job);
-    const auto* task = job ? job->find(name) : nullptr;
-    return task && task->phase == task_phase::Placed && task->incarnation != Common::wall_millis()
-        && task->incarnation < worker.entry.incarnationStartedAt;
-}
-
 void dispatcher::noteCrash(const worker_loss& loss)
 {
     for (const auto& run : loss.runs) {
--- a/Source/Core/Dispatch/DispatcherLeases.cpp
+++ b/Source/Core/Dispatch/DispatcherLeases.cpp
@@ -54,6 +54,7 @@
             observe({ .kind = dispatch_event_kind::WorkerLeaseExpired, .worker = worker.entry.id });
             noteSilentLoss(worker, now);
             loseAllRuns(worker, now);
+            m_openLosses.erase(worker.entry.id);
         }
         if (areLeasesOver && !worker.isRegistered && worker.runs.empty()) {
             m_uncommittedEnds.erase(entry->first);
@@ -79,7 +80,7 @@
             run.stopSentAt = now;
             run.isStopInFlight = true;
             orders.stops.push_back(
-                { .worker = { worker.entry.id, worker.entry.address }, .task = name, .run = run.run });
+                { .worker = worker.recipient(), .task = name, .run = run.run });
         }
     }
 }
@@ -106,7 +107,7 @@
         // A worker that didn't answer gets no work until it answers a poll.
         if (worker.hasReported && !worker.failedAt && !hasStarted && !hasNewAcknowledgement)
             continue;
-        poll_order order { .worker = { worker.entry.id, worker.entry.address }, .acknowledgedEnd = worker.storedEnd };
+        poll_order order { .worker = worker.recipient(), .acknowledgedEnd = worker.storedEnd };
         // An unresponsive worker gets no renewal, so that its leases expire.
         const bool isExtended = m_currentLease >= m_options.lease.minLease && worker.knowsClock()
             && worker.unansweredPolls == 0 && !worker.runs.empty() && !hasUnstoppedRuns(worker);
@@ -146,7 +147,7 @@
             if (pace == run.pace)
                 continue;
             run.pace = pace;
-            orders.paces.push_back({ .worker = { worker.entry.id, worker.entry.address },
+            orders.paces.push_back({ .worker = worker.recipient(),
                 .task = name,
                 .run = run.run,
                 .pace = { pace } });
--- a/Source/Core/Dispatch/DispatcherPlacements.cpp
+++ b/Source/Core/Dispatch/DispatcherPlacements.cpp
@@ -125,7 +125,7 @@
     run.isSent = true;
     run.startedAt = now;
     run.progressedAt = now;
-    orders.starts.push_back({ .worker = { worker.entry.id, worker.entry.address },
+    orders.starts.push_back({ .worker = worker.recipient(),
         .task = planned.task,
         .run = planned.run,
         .payload = job.record().spec.payload,
--- a/Source/Core/Dispatch/DispatcherReplies.cpp
+++ b/Source/Core/Dispatch/DispatcherReplies.cpp
@@ -77,13 +77,18 @@
     std::vector<Jobs::task_name> names;
     for (const auto& [name, run] : worker.runs)
         names.push_back(name);
-    for (const auto& name : names) {
-        releaseRun(worker, name, now);
-        auto* job = findJob(name.job);
-        auto* task = job ? job->find(name) : nullptr;
-        if (task && now >= m_confirmedUntil)
-            task->awaitsConfirmation = true;
-    }
+    for (const auto& name : names)
+        loseRun(worker, name, now);
+}
+
+void dispatcher::loseRun(worker_state& worker, const Jobs::task_name& name, Common::instant now)
+{
+    releaseRun(worker, name, now);
+    auto* job = findJob(name.job);
+    auto* task = job ? job->find(name) : nullptr;
+    // Another leader may have read, stored and acknowledged the run's end.
+    if (task && now >= m_confirmedUntil)
+        task->awaitsConfirmation = true;
 }
 
 void dispatcher::suspect(worker_state& worker, Common::instant now, Common::millis time)
@@ -95,48 +100,9 @@
     observe({ .kind = dispatch_event_kind::WorkerSuspected, .worker = worker.entry.id });
 }
 
-bool dispatcher::checkIncarnation(worker_state& worker, const order_reply& reply, Common::instant now)
-{
-    const bool isOtherIncarnation = reply.outcome == order_outcome::OtherIncarnation;
-    const bool isRestarted = reply.incarnationStartedAt && *reply.incarnationStartedAt != worker.entry.incarnationStartedAt;
-    if (!isOtherIncarnation && !isRestarted)
-        return true;
-    auto entry = worker.entry;
-    if (isRestarted)
-        entry.incarnationStartedAt = *reply.incarnationStartedAt;
-    // Kind and capacity are known once this incarnation has registered.
-    entry.capacity = {};
-    discardIncarnation(worker, entry, now);
-    worker.isRegistered = false;
-    // Nothing runs any more on a worker whose address another one has.
-    if (isOtherIncarnation)
-        worker.leaseExpiryBound = std::min(worker.leaseExpiryBound, now);
-    worker.nextPollAt = now + pollRetryDelay;
-    return false;
-}
-
-void dispatcher::applyReply(worker_state& worker, const order_reply& reply, Common::instant now)
-{
-    if (reply.clock)
-        worker.learnClock(*reply.clock, now);
-    if (reply.outcome != order_outcome::Fenced || m_isFenced)
-        return;
-    m_isFenced = true;
-    observe({ .kind = dispatch_event_kind::Fenced, .worker = worker.entry.id });
-}
-
-worker_state* dispatcher::acceptReply(const Common::worker_id& id, const order_reply& reply, Common::instant now)
-{
-    const auto found = m_workers.find(id);
-    if (found == m_workers.end() || !checkIncarnation(found->second, reply, now))
-        return nullptr;
-    applyReply(found->second, reply, now);
-    return &found->second;
-}
-
 void dispatcher::onStart(const start_order& order, const order_reply& reply, Common::instant now)
 {
-    auto* sender = acceptReply(order.worker.id, reply, now);
+    auto* sender = acceptReply(order.worker, reply, now);
     auto* placedRun = findRun({ .task = order.task, .worker = order.worker.id, .run = order.run });
     if (!sender || !placedRun)
         return;
@@ -185,17 +151,20 @@
 
 void dispatcher::onStop(const stop_order& order, const order_reply& reply, Common::instant now)
 {
-    auto* sender = acceptReply(order.worker.id, reply, now);
+    auto* sender = acceptReply(order.worker, reply, now);
     auto* placedRun = findRun({ .task = order.task, .worker = order.worker.id, .run = order.run });
     if (!sender || !placedRun)
         return;
     auto& worker = *sender;
+    // The order was sent again to the present incarnation.
+    if (order.worker.incarnationStartedAt != worker.entry.incarnationStartedAt)
+        return;
     placedRun->isStopInFlight = false;
     const bool isAccepted = reply.outcome == order_outcome::Done || reply.outcome == order_outcome::StaleRun;
     if (!isAccepted)
         return;
     placedRun->stopAcceptedAt = now;
-    worker.nextPollAt = now + m_options.stopTime;
+    worker.nextPollAt = now + m_options.bounds.stopTime;
 }
 
 void dispatcher::onPace(const pace_order& order, const order_reply& reply)
@@ -217,9 +186,13 @@
         return;
     auto& worker = found->second;
     worker.isPollInFlight = false;
-    if (!checkIncarnation(worker, reply.base, now))
+    const auto origin = originOf(worker, order.worker, reply.base);
+    noteOrigin(worker, origin, reply.base, now);
+    if (origin == reply_origin::Outdated || origin == reply_origin::OtherWorker)
         return;
-    applyReply(worker, reply.base, now);
+    noteFence(worker, reply.base);
+    if (reply.base.clock)
+        worker.learnClock(*reply.base.clock, now);
     if (reply.base.outcome != order_outcome::Done) {
         worker.failedAt = worker.failedAt.value_or(now);
         if (worker.unansweredPolls++ == 0)
@@ -326,6 +299,7 @@
         listed.emplace(run.task, run.run);
         reconcileRun(worker, run, now);
     }
+    settleOpenLoss(worker, listed, sentAt);
     std::vector<Jobs::task_name> missing;
     worker_loss crash { .incarnation = worker.incarnation(), .address = worker.entry.address, .lostAt = now };
     for (const auto& [name, run] : worker.runs) {
@@ -334,7 +308,7 @@
         const bool wasRunning
             = run.phase == run_phase::Inherited || (run.phase == run_phase::Running && run.startedAt < sentAt);
         const bool isStopped = run.phase == run_phase::Stopping && run.stopAcceptedAt
-            && *run.stopAcceptedAt + m_options.stopTime <= sentAt;
+            && *run.stopAcceptedAt + m_options.bounds.stopTime <= sentAt;
         if (wasRunning || isStopped)
             missing.push_back(name);
         if (run.phase == run_phase::Inherited && isOfEarlierIncarnation(worker, name))
@@ -342,7 +316,7 @@
     }
     for (const auto& name : missing) {
         observe({ .kind = dispatch_event_kind::RunMissing, .task = name, .worker = worker.entry.id });
-        releaseRun(worker, name, now);
+        loseRun(worker, name, now);
     }
     noteCrash(crash);
 }
@@ -367,7 +341,9 @@
         .isSizeUnknown = true,
         .startedAt = now,
         .progressedAt = now };
-    addRun(worker, listed.task, task ? runOf(*job, listed.task, listed.run, run_phase::Running, now) : unknown).hasBegun = true;
+    auto& run = addRun(worker, listed.task, task ? runOf(*job, listed.task, listed.run, run_phase::Running, now) : unknown);
+    run.hasBegun = true;
+    run.isListed = true;
     if (isWanted)
         adopt(worker, *job, listed);
     else
@@ -409,6 +385,7 @@
 {
     run.load = listed.load;
     run.hasBegun = true;
+    run.isListed = true;
     if (listed.percent.value != run.percent) {
         run.percent = static_cast<int>(listed.percent.value);
         run.progressedAt = now;
--- a/Source/Core/Dispatch/Orders.h
+++ b/Source/Core/Dispatch/Orders.h
@@ -20,6 +20,14 @@
 /// Number of an attempt to run a task; later attempts have higher ones.
 using run_number = Common::quantity<struct run_number_tag>;
 
+/// Bounds that all workers keep.
+struct worker_bounds {
+    /// Longest time a worker takes to carry out a stop that it accepted.
+    Common::millis stopTime { 200 };
+    /// A worker shortens any longer lease to this one.
+    Common::millis longestLease { 10000 };
+};
+
 /// A worker's registration.
 struct worker_entry {
     Common::worker_id id;
@@ -43,10 +51,12 @@
     friend bool operator==(const worker_incarnation&, const worker_incarnation&) = default;
 };
 
-/// One incarnation of a worker, as the recipient of orders.
+/// A worker as the recipient of an order.
 struct worker_address {
     Common::worker_id id;
     Common::endpoint address;
+    /// The incarnation that was known when the order was sent; a later one may carry the order out. 0 if none was known.
+    Common::wall_millis incarnationStartedAt;
 };
 
 struct start_order {
@@ -109,6 +119,7 @@
 struct order_reply {
     order_outcome outcome { order_outcome::NoAnswer };
     std::optional<worker_millis> clock;
+    /// The incarnation that answered. Only lists of runs name it.
     std::optional<Common::wall_millis> incarnationStartedAt;
 };
 
--- a/Source/Core/Dispatch/WorkerState.cpp
+++ b/Source/Core/Dispatch/WorkerState.cpp
@@ -37,11 +37,16 @@
     return { m_clock->clock.value + Common::elapsed(m_clock->at, now).count() };
 }
 
-worker_millis worker_state::grantLease(Common::instant now, Common::millis lease)
+void worker_state::noteLease(Common::instant now, Common::millis lease)
 {
     const auto slow = std::chrono::duration<double, std::milli>(static_cast<double>(lease.count()) * maxClockSlowness);
     leaseExpiryBound = std::max(
         leaseExpiryBound, now + std::chrono::duration_cast<Common::boot_clock::duration>(slow) + expirySlack);
+}
+
+worker_millis worker_state::grantLease(Common::instant now, Common::millis lease)
+{
+    noteLease(now, lease);
     return { clockAt(now).value + lease.count() };
 }
 
--- a/Source/Core/Dispatch/WorkerState.h
+++ b/Source/Core/Dispatch/WorkerState.h
@@ -34,8 +34,10 @@
     bool isLogged { false };
     /// A start order may have reached the worker.
     bool isSent { true };
-    /// The worker has confirmed that the task began.
+    /// A worker has confirmed that the task began.
     bool hasBegun { false };
+    /// The present incarnation of the worker has listed the run.
+    bool isListed { false };
     Common::instant startedAt;
     /// When the last stop order was sent, and when the worker accepted one.
     std::optional<Common::instant> stopSentAt;
@@ -95,14 +97,22 @@
     Common::instant lastStartAt;
     Common::job_id lastStartJob;
 
+    /// Whether its end was announced, so that it isn't taken for a crash.
+    bool isEndExpected() const { return entry.isDraining || isEndPlanned; }
     bool isOnProbation(Common::instant now) const { return probation && now < probation->until; }
     /// Whether a start of the job would follow a start of another job by less than `time`.
     bool hasJustStartedOther(const Common::job_id& job, Common::millis time, Common::instant now) const;
     worker_incarnation incarnation() const { return { .worker = entry.id, .startedAt = entry.incarnationStartedAt }; }
+    worker_address recipient() const
+    {
+        return { .id = entry.id, .address = entry.address, .incarnationStartedAt = entry.incarnationStartedAt };
+    }
     void learnClock(worker_millis, Common::instant receivedAt);
     bool knowsClock() const { return m_clock.has_value(); }
     /// Estimate of the worker's clock at `now`; it may run slower than ours by a factor of up to `maxClockSlowness`.
     worker_millis clockAt(Common::instant now) const;
+    /// Advances `leaseExpiryBound`: leases may have been granted that last for `lease` from `now`.
+    void noteLease(Common::instant now, Common::millis lease);
     /// Deadline for an order that grants `lease` from `now`; also advances `leaseExpiryBound`.
     worker_millis grantLease(Common::instant now, Common::millis lease);
     /// To be called with each registration of the same incarnation.
--- a/Source/UnitTests/Core/Dispatch/CapacityChangeTest.cpp
+++ b/Source/UnitTests/Core/Dispatch/CapacityChangeTest.cpp
@@ -256,7 +256,6 @@
     const auto old = f.sized("w1", roomFor(8));
     f.incarnationStartedAt = { 2000 };
     f.answerPoll(f.nextPoll().value());
-    f.answerPoll(f.nextPoll().value());
     REQUIRE(f.dispatcher.workers().at({ "w1" }).hasReported);
     // Otherwise the worker would be on probation for the job that it crashed with.
     f.dispatcher.cancelJob({ "j" });
--- a/Source/UnitTests/Core/Dispatch/DispatcherFixture.h
+++ b/Source/UnitTests/Core/Dispatch/DispatcherFixture.h
@@ -86,7 +86,10 @@
         return { .clock = Dispatch::worker_millis { 5000 }, .incarnationStartedAt = incarnationStartedAt };
     }
 
-    static Dispatch::order_reply reply(Dispatch::order_outcome outcome) { return { .outcome = outcome }; }
+    static Dispatch::order_reply reply(Dispatch::order_outcome outcome)
+    {
+        return { .outcome = outcome, .clock = Dispatch::worker_millis { 5000 } };
+    }
 
     /// Answers a poll with the given lists.
     void answerPoll(const Dispatch::poll_order& order, std::vector<Dispatch::listed_run> running = {},
@@ -117,11 +120,10 @@
         return std::chrono::milliseconds(dispatcher.workers().at({ id }).clockAt(now).value);
     }
 
+    /// The worker answers that it runs the task. Answers to orders don't name the incarnation.
     void accept(const Dispatch::start_order& order)
     {
-        auto accepted = done();
-        accepted.outcome = Dispatch::order_outcome::Done;
-        dispatcher.onStart(order, accepted, now);
+        dispatcher.onStart(order, reply(Dispatch::order_outcome::Done), now);
     }
 
     static Dispatch::listed_run listed(const Dispatch::start_order& order, int percent = 10)
--- a/Source/UnitTests/Core/Explorer/SimulatedWorker.cpp
+++ b/Source/UnitTests/Core/Explorer/SimulatedWorker.cpp
@@ -46,7 +46,14 @@
 
 Dispatch::order_reply simulated_worker::reply(order_outcome outcome) const
 {
-    return { .outcome = outcome, .clock = clock(), .incarnationStartedAt = Common::wall_millis { m_incarnation } };
+    return { .outcome = outcome, .clock = clock() };
+}
+
+Dispatch::order_reply simulated_worker::listReply() const
+{
+    auto named = reply(order_outcome::Done);
+    named.incarnationStartedAt = Common::wall_millis { m_incarnation };
+    return named;
 }
 
 bool simulated_worker::isFenced(Dispatch::fencing_token token)
@@ -104,7 +111,7 @@
     if (order.deadline)
         extendLease(*order.deadline);
     std::erase_if(m_ends, [&order](const auto& end) { return end.number <= order.acknowledgedEnd; });
-    Dispatch::poll_order_reply answer { .base = reply(order_outcome::Done), .ended = m_ends };
+    Dispatch::poll_order_reply answer { .base = listReply(), .ended = m_ends };
     for (const auto& [task, run] : m_runs)
         answer.running.push_back({ .task = task, .run = run.run, .percent = { 50 + m_lastEnd % 50 } });
     return answer;
--- a/Source/UnitTests/Core/Explorer/SimulatedWorker.h
+++ b/Source/UnitTests/Core/Explorer/SimulatedWorker.h
@@ -74,7 +74,9 @@
         std::optional<Common::instant> stopsAt;
     };
 
+    /// Answers to orders don't name the incarnation; lists of runs do.
     Dispatch::order_reply reply(Dispatch::order_outcome) const;
+    Dispatch::order_reply listReply() const;
     void loseState();
     void beginIncarnation();
     Dispatch::worker_millis clock() const;
--- a/Source/UnitTests/Platform/DecodeTest.cpp
+++ b/Source/UnitTests/Platform/DecodeTest.cpp
@@ -112,10 +112,12 @@
 TEST_CASE("Complete settings are read, those without an address are rejected with the name of the field, and text that isn't TOML is reported", "[platform]")
 {
     const std::string complete = "node = \"n\"\nzone = \"z\"\nip = \"10.0.0.1\"\ninternalPortRange = [7000, 7015]\n[listen]\nfront = \"10.0.0.1:80\"\nready = \"10.0.0.1:81\"\n"
-                                 "[platform]\naddress = \"10.0.0.2:80\"\n[bounds]\ngraceS = 6\nstopMs = 200\n";
+                                 "[platform]\naddress = \"10.0.0.2:80\"\n[bounds]\ngraceS = 6\nstopMs = 250\nholdMaxMs = 9000\n";
     const auto result = Platform::parseNodeSettings(complete);
     REQUIRE(result.settings);
     CHECK(result.settings->stopGrace == std::chrono::seconds(6));
+    CHECK(result.settings->workerBounds.stopTime == std::chrono::milliseconds(250));
+    CHECK(result.settings->workerBounds.longestLease == std::chrono::seconds(9));
     CHECK_FALSE(result.settings->instanceManager);
     CHECK(result.settings->metrics->port == 7000);
     CHECK(result.settings->capacity == ControlPlane::instance_capacity());
