A release of leadership is stored with all that the leader knows, and only while no later term has begun

Cause: a release says that the log has all placements. It was judged by the runs that were still known, so a run that was started without the log and had ended didn't count, although the log had neither its placement nor its end. And it was appended apart from the leader's records and without its epoch, so the store took it from a leader that had been superseded. The next leader then held nothing back and started the task of a worker that it couldn't reach.

Change: one append stores all progress that isn't stored, and the release, under the term's epoch and after everything that the term has sent before. The store takes it in that order only, and not after a later claim, so a release in the log is true. What is left to judge is whether the leader knows all placements; workers outside of the present pools count too. A lost term ends without a release. leadership_released tells how much went with it.

--- a/Source/Core/ControlPlane/LeaderTerm.cpp
+++ b/Source/Core/ControlPlane/LeaderTerm.cpp
@@ -36,6 +36,14 @@
     /// Run numbers that one term may use for a task.
     constexpr std::int64_t runsPerTerm = 1000;
 
+    std::vector<Records::keyed_record> progressRecords(const Dispatch::commit_batch& batch)
+    {
+        std::vector<Records::keyed_record> records;
+        for (const auto& progress : batch.progress)
+            records.push_back(progressRecord(progress));
+        return records;
+    }
+
 }
 
 leader_term::leader_term(
@@ -111,16 +119,40 @@
     schedulePlan();
 }
 
-void leader_term::stop()
+void leader_term::stopOrders()
 {
     m_isOver = true;
     m_parts.progressReader.setLongPolling(true);
     if (m_capacity)
         m_capacity->stop();
+}
+
+void leader_term::stop()
+{
+    stopOrders();
     m_appender->stop();
     m_states.reset();
 }
 
+void leader_term::release(
+    const std::string& successor, Common::millis timeout, std::function<void(bool)> onEnd)
+{
+    auto records = progressRecords(m_dispatcher.takeCommit());
+    Common::writeEvent(Common::log_level::Info, Common::log_category::Membership, "leadership_released",
+        { { "number", std::to_string(m_options.number) }, { "successor", successor },
+            { "progress", std::to_string(records.size()) }, { "commits_in_flight", std::to_string(m_pendingCommits) } });
+    records.push_back(releaseRecord(m_options.number, successor));
+    const auto end = [self = shared_from_this(), onEnd = std::move(onEnd)](bool isStored) {
+        if (std::exchange(self->m_isReleaseOver, true))
+            return;
+        self->stop();
+        onEnd(isStored);
+    };
+    m_appender->add(std::move(records),
+        [end](Records::append_outcome outcome) { end(outcome == Records::append_outcome::Stored); });
+    m_parts.timers.after(timeout, [end] { end(false); });
+}
+
 void leader_term::loseLeadership(const char* why)
 {
     if (m_isOver)
@@ -392,9 +424,7 @@
     if (m_pendingCommits > 0 || m_isOver)
         return;
     const auto batch = m_dispatcher.takeCommit();
-    std::vector<Records::keyed_record> records;
-    for (const auto& progress : batch.progress)
-        records.push_back(progressRecord(progress));
+    auto records = progressRecords(batch);
     if (records.empty() && !batch.empty())
         m_dispatcher.onCommitted(batch, m_parts.timers.now());
     // Any record of the term counts as a heartbeat.
--- a/Source/Core/ControlPlane/LeaderTerm.h
+++ b/Source/Core/ControlPlane/LeaderTerm.h
@@ -55,14 +55,22 @@
     /// Starts dispatching; rules, workers and jobs must have been read.
     void start(const std::map<std::int64_t, Capacity::wave_status>& waves);
     /// Sends no more orders. Running tasks go on under their leases.
+    void stopOrders();
+    /// The same, and stores nothing more.
     void stop();
+    /// After `stopOrders`: stores all that this leader knows, and with it the release, then stops. The store takes the
+    /// release only after everything that this term has sent before, and only while no later term has begun. Without an
+    /// answer in `timeout` it may still be stored. `onEnd` is told whether it was.
+    void release(const std::string& successor, Common::millis timeout, std::function<void(bool)> onEnd);
     bool isOver() const { return m_isOver; }
     /// Whether the instance manager has unanswered orders.
     bool hasOpenOrders() const { return m_capacity && m_capacity->hasOpenOrders(); }
     /// While paused, no instance is moved and no maintenance begins.
     void pauseInstanceOrders(bool isPaused) { m_areInstanceOrdersPaused = isPaused; }
     std::int64_t number() const { return m_options.number; }
-    /// Whether the log has all placements of this leader and earlier ones.
+    /// Whether this leader knows all placements, its own and those of earlier leaders, so that it may release leadership.
+    bool knowsAllPlacements() const { return m_isStarted && m_dispatcher.knowsAllPlacements(m_parts.timers.now()); }
+    /// Whether the log has them.
     bool areAllPlacementsLogged() const { return m_isStarted && m_dispatcher.areAllPlacementsLogged(m_parts.timers.now()); }
 
     /// The last measurement of this leader's load.
@@ -130,6 +138,8 @@
     bool m_isPlanScheduled { false };
     bool m_isStarted { false };
     bool m_isOver { false };
+    /// The release was stored or given up.
+    bool m_isReleaseOver { false };
 };
 
 }
--- a/Source/Core/ControlPlane/LeadershipManager.cpp
+++ b/Source/Core/ControlPlane/LeadershipManager.cpp
@@ -12,7 +12,8 @@
     constexpr Common::millis leaderIntakeInterval { 20 };
     /// How long a new leader waits for the store before it gives up leadership.
     constexpr Common::millis takeoverTimeout { 2000 };
-    constexpr Common::millis releaseTimeout { 300 };
+    /// Longest wait for the answer to a release, with what was stored before it.
+    constexpr Common::millis releaseTimeout { 600 };
     /// Leadership isn't released if the instance manager takes longer to answer the open orders.
     constexpr Common::millis openOrdersTimeout { 500 };
     constexpr Common::millis releasePollInterval { 20 };
@@ -42,8 +43,10 @@
 
 leadership_manager::~leadership_manager()
 {
-    if (m_term)
-        m_term->stop();
+    for (const auto& term : { m_term, m_releasing }) {
+        if (term)
+            term->stop();
+    }
 }
 
 void leadership_manager::start()
@@ -71,13 +74,10 @@
 
 void leadership_manager::discardTerm()
 {
-    const auto term = std::exchange(m_term, nullptr);
-    if (!term)
+    if (!m_term)
         return;
     m_claimsFrom = m_parts.timers.now() + m_claimBackoff;
-    term->stop();
-    m_parts.intake.setInterval(standbyIntakeInterval);
-    m_election->returnToStandby();
+    loseTerm();
 }
 
 void leadership_manager::onElected(const won_election& won)
@@ -103,7 +103,7 @@
             .statusTopic = m_options.statusTopic,
             .writer = leaderWriter,
             .workerBounds = m_options.workerBounds },
-        [this] { endTerm(); });
+        [this] { loseTerm(); });
     m_term->startHeartbeats();
     // The workers and jobs of earlier leaders must be known before anything is started.
     m_parts.workerList.refresh(takeoverTimeout, [this, term = m_term](bool isRead) { readJobs(term, isRead); });
@@ -140,16 +140,28 @@
     term.start(m_parts.progressFeed.waves());
 }
 
-void leadership_manager::endTerm(const std::string& successor)
+void leadership_manager::loseTerm()
 {
     const auto term = std::exchange(m_term, nullptr);
-    const bool areAllPlacementsLogged = term && term->areAllPlacementsLogged();
     if (term)
         term->stop();
     m_parts.intake.setInterval(standbyIntakeInterval);
     m_election->returnToStandby();
-    if (areAllPlacementsLogged)
-        release(term, successor, m_parts.timers.now() + openOrdersTimeout);
+}
+
+void leadership_manager::endTerm(const std::string& successor)
+{
+    const auto term = m_term;
+    if (!term || !term->knowsAllPlacements()) {
+        loseTerm();
+        return;
+    }
+    m_term.reset();
+    m_releasing = term;
+    term->stopOrders();
+    m_parts.intake.setInterval(standbyIntakeInterval);
+    m_election->returnToStandby();
+    release(term, successor, m_parts.timers.now() + openOrdersTimeout);
 }
 
 void leadership_manager::release(
@@ -160,23 +172,23 @@
         if (m_parts.timers.now() < until)
             m_parts.timers.after(
                 releasePollInterval, [this, term, successor, until] { release(term, successor, until); });
+        else
+            term->stop();
         return;
     }
-    Common::writeEvent(Common::log_level::Info, Common::log_category::Membership, "leadership_released",
-        { { "number", std::to_string(term->number()) }, { "successor", successor } });
-    // After a release the next leader needn't wait for workers that don't answer it.
-    const Records::append_request release { .partition = m_options.progressTopic,
-        .records = { releaseRecord(term->number(), successor) } };
-    m_parts.store.append(release, releaseTimeout, [this, release](const Records::append_result& result) {
-        if (result.outcome != Records::append_outcome::Stored)
-            return;
-        // Instances that follow only the end of the progress read the copy.
-        auto copy = release;
-        copy.partition = m_options.stateTopic;
-        m_parts.store.append(copy, releaseTimeout, [](const auto&) {});
+    term->release(successor, releaseTimeout, [this, number = term->number(), successor](bool isStored) {
+        if (isStored)
+            copyRelease(number, successor);
     });
 }
 
+void leadership_manager::copyRelease(std::int64_t number, const std::string& successor)
+{
+    // Instances that follow only the end of the progress read the copy.
+    const Records::append_request copy { .partition = m_options.stateTopic, .records = { releaseRecord(number, successor) } };
+    m_parts.store.append(copy, releaseTimeout, [](const auto&) {});
+}
+
 void leadership_manager::watchHandovers()
 {
     if (m_term)
--- a/Source/Core/ControlPlane/LeadershipManager.h
+++ b/Source/Core/ControlPlane/LeadershipManager.h
@@ -79,9 +79,12 @@
     void startDispatching(leader_term&);
     /// Ends a term that couldn't be started, and makes no claim for some time, so that others can lead.
     void abandonTerm();
-    /// Ends the term, if any, and releases it when the log has all placements.
+    /// Another leader has taken over: the log belongs to it, so nothing can be said of this term any more.
+    void loseTerm();
+    /// Ends the term, if any, and releases leadership if this leader knows all placements.
     void endTerm(const std::string& successor = {});
     void release(const std::shared_ptr<leader_term>&, const std::string& successor, Common::instant until);
+    void copyRelease(std::int64_t number, const std::string& successor);
     void watchHandovers();
     void considerRequestingHandover();
     void sendHandoverRequest(std::int64_t claim);
@@ -97,6 +100,8 @@
     /// Back-off after the next term that can't be started.
     Common::millis m_claimBackoff { minClaimBackoff };
     std::shared_ptr<leader_term> m_term;
+    /// The last term that was ended by a release.
+    std::shared_ptr<leader_term> m_releasing;
     Common::instant m_termBegan;
     handover_candidate m_handoverCandidate;
     /// The newest request to this leader, when it was read, and whether it was answered.
--- a/Source/Core/Dispatch/Dispatcher.cpp
+++ b/Source/Core/Dispatch/Dispatcher.cpp
@@ -200,11 +200,19 @@
 {
     if (m_isLogComplete)
         return true;
-    if (!m_areWorkersKnown && now < m_takenOverAt + m_options.instanceListTimeout)
-        return false;
     const auto& workers = workersOf(pool);
-    return std::all_of(workers.begin(), workers.end(),
-        [now](const auto* worker) { return worker->hasReported || now >= worker->leaseExpiryBound; });
+    return areWorkersKnown(now)
+        && std::all_of(workers.begin(), workers.end(), [now](const auto* worker) { return isReconciled(*worker, now); });
+}
+
+bool dispatcher::areWorkersKnown(Common::instant now) const
+{
+    return m_areWorkersKnown || now >= m_takenOverAt + m_options.instanceListTimeout;
+}
+
+bool dispatcher::isReconciled(const worker_state& worker, Common::instant now)
+{
+    return worker.hasReported || now >= worker.leaseExpiryBound;
 }
 
 bool dispatcher::isSchedulable(const worker_state& worker, Common::instant now) const
--- a/Source/Core/Dispatch/Dispatcher.h
+++ b/Source/Core/Dispatch/Dispatcher.h
@@ -181,7 +181,9 @@
 
     /// To be called once the previous leader sends no more orders and the log has all its placements.
     void setLogComplete() { m_isLogComplete = true; }
-    /// Whether the log has all placements, ours and those of earlier leaders.
+    /// Whether no worker can run anything unnoticed that an earlier leader started, and the log may lack.
+    bool knowsAllPlacements(Common::instant now) const;
+    /// Whether the log has all placements, ours and those of earlier leaders, as far as they still run.
     bool areAllPlacementsLogged(Common::instant now) const;
     /// Whether any start waits for its placement to be stored.
     bool awaitsPlacementLog() const { return !m_pendingStarts.empty(); }
@@ -250,6 +252,10 @@
     const Rules::queue_rule* queueOf(const open_job&) const;
     /// Whether nothing that an earlier leader started in the pool can still be running unnoticed.
     bool isPoolReconciled(const Common::pool_id&, Common::instant now) const;
+    /// The same of one worker.
+    static bool isReconciled(const worker_state&, Common::instant now);
+    /// Whether all workers to which an earlier leader may have sent orders are known.
+    bool areWorkersKnown(Common::instant now) const;
     /// Whether the worker may get new work.
     bool isSchedulable(const worker_state&, Common::instant now) const;
     std::vector<worker_state*> schedulableWorkers(const Common::pool_id&, Common::instant now) const;
--- a/Source/Core/Dispatch/DispatcherPlacements.cpp
+++ b/Source/Core/Dispatch/DispatcherPlacements.cpp
@@ -182,14 +182,21 @@
     }
 }
 
+bool dispatcher::knowsAllPlacements(Common::instant now) const
+{
+    if (m_isLogComplete)
+        return true;
+    return areWorkersKnown(now) && std::all_of(m_workers.begin(), m_workers.end(), [now](const auto& entry) {
+        return isReconciled(entry.second, now);
+    });
+}
+
 bool dispatcher::areAllPlacementsLogged(Common::instant now) const
 {
-    const bool areReconciled = std::all_of(m_rules.pools.begin(), m_rules.pools.end(),
-        [this, now](const auto& pool) { return isPoolReconciled(pool.id, now); });
     const auto isLogged = [this](const auto& entry) {
         return entry.second.isLogged || !entry.second.isSent || !m_jobs.contains(entry.first.job.value);
     };
-    return areReconciled && std::all_of(m_workers.begin(), m_workers.end(), [&isLogged](const auto& worker) {
+    return knowsAllPlacements(now) && std::all_of(m_workers.begin(), m_workers.end(), [&isLogged](const auto& worker) {
         return std::all_of(worker.second.runs.begin(), worker.second.runs.end(), isLogged);
     });
 }
