Nothing is concluded from the absence of a run while a worker's list of ends may be cut

Cause: a run that a worker lists neither as running nor as ended counted as vanished. A worker lists 500 ends at a time, and the others only once these are acknowledged, which needs the store. Evidence: in the record the repeated starts begin when a worker has more than 500 ends, and only for tasks whose ends come after those.

Change: a reply tells whether its list of ends may have been cut. dispatcher::reconcile, where all conclusions from absence are drawn, draws none from such a list: neither for running nor for stopped runs, nor for those of an earlier leader or incarnation. A worker is reconciled with a new leader once it has listed all its ends. New events end_list_cut and end_list_complete. What isn't listed keeps its share of the worker, which bounds the starts there.

--- a/Source/Core/ControlPlane/DispatchLog.cpp
+++ b/Source/Core/ControlPlane/DispatchLog.cpp
@@ -101,6 +101,10 @@
         return "ended";
     case RunMissing:
         return "run_vanished";
+    case EndListCut:
+        return "end_list_cut";
+    case EndListComplete:
+        return "end_list_complete";
     case Stalled:
         return "run_stalled";
     case WorkerUnresponsive:
--- a/Source/Core/Dispatch/Dispatcher.cpp
+++ b/Source/Core/Dispatch/Dispatcher.cpp
@@ -212,7 +212,7 @@
 
 bool dispatcher::isReconciled(const worker_state& worker, Common::instant now)
 {
-    return worker.hasReported || now >= worker.leaseExpiryBound;
+    return worker.hasListedAllEnds || now >= worker.leaseExpiryBound;
 }
 
 bool dispatcher::isSchedulable(const worker_state& worker, Common::instant now) const
--- a/Source/Core/Dispatch/Dispatcher.h
+++ b/Source/Core/Dispatch/Dispatcher.h
@@ -45,6 +45,9 @@
     StopOrdered,
     Ended,
     RunMissing,
+    /// The worker has more ends than one list holds; what it doesn't list may have ended.
+    EndListCut,
+    EndListComplete,
     Stalled,
     WorkerUnresponsive,
     WorkerLeaseExpired,
--- a/Source/Core/Dispatch/DispatcherPlacements.cpp
+++ b/Source/Core/Dispatch/DispatcherPlacements.cpp
@@ -231,7 +231,7 @@
     auto& worker = expectWorker(known.worker, queue ? queue->pool : Common::pool_id(), now);
     const run_number run { known.run };
     const bool isListed = worker.runs.contains(name);
-    if (worker.hasReported && !isListed)
+    if (worker.hasListedAllEnds && !isListed)
         return;
     if (!isListed)
         addRun(worker, name, runOf(job, name, run, run_phase::Inherited, now)).isLogged = true;
--- a/Source/Core/Dispatch/DispatcherReplies.cpp
+++ b/Source/Core/Dispatch/DispatcherReplies.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <limits>
+#include <utility>
 
 namespace Dispatch {
 
@@ -206,6 +207,10 @@
     worker.unansweredPolls = 0;
     worker.failedAt.reset();
     worker.hasReported = true;
+    worker.hasListedAllEnds = worker.hasListedAllEnds || !reply.mayHaveMoreEnds;
+    if (std::exchange(worker.isEndListCut, reply.mayHaveMoreEnds) != reply.mayHaveMoreEnds)
+        observe({ .kind = reply.mayHaveMoreEnds ? dispatch_event_kind::EndListCut : dispatch_event_kind::EndListComplete,
+            .worker = worker.entry.id });
     workerAnswers(worker);
     worker.reportedAt = now;
     for (const auto& end : reply.ended) {
@@ -299,6 +304,9 @@
         listed.emplace(run.task, run.run);
         reconcileRun(worker, run, now);
     }
+    // Without the whole list of ends, what isn't listed may have ended. Its task and its share of the worker wait.
+    if (reply.mayHaveMoreEnds)
+        return;
     settleOpenLoss(worker, listed, sentAt);
     std::vector<Jobs::task_name> missing;
     worker_loss crash { .incarnation = worker.incarnation(), .address = worker.entry.address, .lostAt = now };
--- a/Source/Core/Dispatch/Orders.h
+++ b/Source/Core/Dispatch/Orders.h
@@ -156,7 +156,11 @@
 struct poll_order_reply {
     order_reply base;
     std::vector<listed_run> running;
+    /// The first ends that aren't acknowledged, in the order of their numbers.
     std::vector<listed_end> ended;
+    /// The list of ends was cut at its greatest length: a run in neither list may have ended. The others follow once these
+    /// are acknowledged.
+    bool mayHaveMoreEnds { false };
 };
 
 }
--- a/Source/Core/Dispatch/WorkerState.cpp
+++ b/Source/Core/Dispatch/WorkerState.cpp
@@ -55,6 +55,8 @@
     entry = std::move(registered);
     m_fullCapacity = entry.capacity;
     hasReported = false;
+    hasListedAllEnds = false;
+    isEndListCut = false;
     seenEnd = {};
     storedEnd = {};
     failuresInRow = 0;
--- a/Source/Core/Dispatch/WorkerState.h
+++ b/Source/Core/Dispatch/WorkerState.h
@@ -69,6 +69,10 @@
     bool isRegistered { true };
     /// Has answered a poll under our fencing token, so orders of an earlier leader can't start anything there.
     bool hasReported { false };
+    /// Has listed all its ends at least once since then, so those of runs that an earlier leader started are known.
+    bool hasListedAllEnds { false };
+    /// The last list of ends was cut.
+    bool isEndListCut { false };
     /// Gets no new work, since its instance is about to be moved or maintained.
     bool isCordoned { false };
     /// Was cordoned while it answered, so that its end isn't taken for a crash.
--- a/Source/UnitTests/Core/Explorer/SimulatedWorker.cpp
+++ b/Source/UnitTests/Core/Explorer/SimulatedWorker.cpp
@@ -1,5 +1,6 @@
 #include "SimulatedWorker.h"
 
+#include <algorithm>
 #include <utility>
 
 using Dispatch::order_outcome;
@@ -7,6 +8,8 @@
 namespace {
 
 constexpr Common::millis stopTime { 200 };
+/// Ends in one list. Real workers list more; few let lists be cut often.
+constexpr std::size_t maxListedEnds = 3;
 /// Longest lease that a worker accepts, in ms of its clock.
 constexpr std::int64_t maxLeaseMillis = 10000;
 /// Rate of the worker's clock relative to the nodes' clock.
@@ -111,7 +114,9 @@
     if (order.deadline)
         extendLease(*order.deadline);
     std::erase_if(m_ends, [&order](const auto& end) { return end.number <= order.acknowledgedEnd; });
-    Dispatch::poll_order_reply answer { .base = listReply(), .ended = m_ends };
+    Dispatch::poll_order_reply answer { .base = listReply() };
+    answer.mayHaveMoreEnds = m_ends.size() >= maxListedEnds;
+    answer.ended.assign(m_ends.begin(), m_ends.begin() + static_cast<std::ptrdiff_t>(std::min(m_ends.size(), maxListedEnds)));
     for (const auto& [task, run] : m_runs)
         answer.running.push_back({ .task = task, .run = run.run, .percent = { 50 + m_lastEnd % 50 } });
     return answer;
--- a/Source/UnitTests/Platform/DecodeTest.cpp
+++ b/Source/UnitTests/Platform/DecodeTest.cpp
@@ -109,6 +109,21 @@
     CHECK(Platform::decodePollReply(200, R"({"clockMs":1})").base.outcome == order_outcome::Invalid);
 }
 
+TEST_CASE("A list of ends of the greatest length may have been cut, whether its rows can be read or not", "[platform]")
+{
+    const auto reply = [](int rows, const std::string& kind, const std::string& extra) {
+        std::string list;
+        for (int row = 1; row <= rows; ++row)
+            list += (row > 1 ? ",[" : "[") + std::to_string(row) + ",\"a.0.0." + std::to_string(row) + "\",1,\"" + kind + "\",\"\"]";
+        return Platform::decodePollReply(200, R"({"clockMs":1,"born":2,)" + extra + R"("running":[],"finished":[)" + list + "]}");
+    };
+    const auto kind = GENERATE(as<std::string> {}, "done", "unheard-of");
+    // The second form isn't that of the workers, and is read from a tree.
+    const auto extra = GENERATE(as<std::string> {}, "", "\"other\":1.5,");
+    CHECK_FALSE(reply(499, kind, extra).mayHaveMoreEnds);
+    CHECK(reply(500, kind, extra).mayHaveMoreEnds);
+}
+
 TEST_CASE("Complete settings are read, those without an address are rejected with the name of the field, and text that isn't TOML is reported", "[platform]")
 {
     const std::string complete = "node = \"n\"\nzone = \"z\"\nip = \"10.0.0.1\"\ninternalPortRange = [7000, 7015]\n[listen]\nfront = \"10.0.0.1:80\"\nready = \"10.0.0.1:81\"\n"
--- a/Source/UnitTests/Platform/ReplyDecodeTest.cpp
+++ b/Source/UnitTests/Platform/ReplyDecodeTest.cpp
@@ -74,6 +74,7 @@
             }
             reply.running = lists.running;
             reply.ended = lists.ended;
+            reply.mayHaveMoreEnds = parsed->at("finished").size() >= 500;
             reply.base.outcome = order_outcome::Done;
         } catch (const json::exception&) {
             return reply;
@@ -97,6 +98,7 @@
         out["ended"].push_back({ end.number.value, Platform::encodeTaskName(end.task), end.run.value,
             static_cast<int>(end.kind), end.checkpoint });
     }
+    out["more"] = reply.mayHaveMoreEnds;
     return Common::writeJson(out);
 }
 
