The progress of a large job is stored in parts, in appends that the store takes

Cause: all progress of a job was one record. When it exceeded recordBytes the store refused the append with 400, which counted as an answer that was lost, so the leader repeated it for ever and stored nothing else, not even its heartbeat. Each next leader built the same record.

Change: progress is divided by the steps of the job into parts of 256 tasks, each a record of its own; smaller jobs are stored as before. Of a large job only the changed parts are written. What one commit has to store is divided into appends of at most callBytes, and ends are acknowledged after the last. Both limits are read from the settings. A job whose own record is too long is refused with 400 instead of failing the append together with the submissions of others.

The store in memory has both limits now.

--- a/Source/Core/ControlPlane/EntryNode.cpp
+++ b/Source/Core/ControlPlane/EntryNode.cpp
@@ -136,6 +136,7 @@
         .intake = *m_intake,
         .appender = *m_appender,
         .format = m_parts.jobApiFormat,
+        .storeLimits = m_settings.storeLimits,
         .eventCounters = m_eventCounters });
     m_views = std::make_unique<view_monitor>(*m_timers);
     m_views->add(view_kind::Registrations, m_workerList);
@@ -164,7 +165,8 @@
             .handoverTopic = m_parts.topics.handovers,
             .stateTopic = m_parts.topics.states,
             .statusTopic = m_parts.topics.status,
-            .workerBounds = m_settings.workerBounds });
+            .workerBounds = m_settings.workerBounds,
+            .storeLimits = m_settings.storeLimits });
     m_callerListener = std::make_unique<EventLoop::http_listener>(
         m_parts.loop, m_settings.callers,
         EventLoop::listener_limits {}, [this](const EventLoop::http_request& request, const EventLoop::responder& respond) {
--- a/Source/Core/ControlPlane/EntryNodeSettings.h
+++ b/Source/Core/ControlPlane/EntryNodeSettings.h
@@ -3,6 +3,7 @@
 #include "Common/Endpoint.h"
 #include "ControlPlane/LeaderCapacity.h"
 #include "Dispatch/Orders.h"
+#include "Records/RecordStore.h"
 
 #include <optional>
 #include <string>
@@ -29,6 +30,7 @@
     /// once a second and removes an instance after two failed checks.
     Common::millis balancerRemovalTime { 2500 };
     Dispatch::worker_bounds workerBounds;
+    Records::store_limits storeLimits;
 };
 
 }
--- a/Source/Core/ControlPlane/JobApi.cpp
+++ b/Source/Core/ControlPlane/JobApi.cpp
@@ -141,7 +141,12 @@
         .team = call.team,
         .acceptedAt = Common::wallNow(),
         .spec = std::move(*spec) };
-    m_parts.appender.add({ jobRecord(job) }, [this, job, respond](Records::append_outcome outcome) {
+    auto record = jobRecord(job);
+    if (Records::sizeInAppend(record) > m_parts.storeLimits.recordBytes) {
+        refuse(respond, 400, "job_too_large", call.job.value);
+        return;
+    }
+    m_parts.appender.add({ std::move(record) }, [this, job, respond](Records::append_outcome outcome) {
         if (outcome == Records::append_outcome::Stored) {
             if (m_parts.jobRegistry.accept(job))
                 m_parts.listener.jobAccepted(job.id);
--- a/Source/Core/ControlPlane/JobApi.h
+++ b/Source/Core/ControlPlane/JobApi.h
@@ -33,6 +33,7 @@
     Records::partition_reader_group& intake;
     Records::failover_appender& appender;
     const job_api_format& format;
+    Records::store_limits storeLimits;
     counters& eventCounters;
 };
 
--- a/Source/Core/ControlPlane/JobFeeds.cpp
+++ b/Source/Core/ControlPlane/JobFeeds.cpp
@@ -6,6 +6,7 @@
 #include "Jobs/JobCodec.h"
 
 #include <algorithm>
+#include <charconv>
 #include <utility>
 
 namespace ControlPlane {
@@ -16,6 +17,8 @@
     constexpr char cancelPrefix = '~';
     /// Precedes the digest of the scope in that key, if the cancellation has one.
     constexpr char scopeSeparator = '~';
+    /// Separates the job's identifier from the number of the part in the key of a later part of its progress.
+    constexpr char partSeparator = '#';
     constexpr auto claimKey = "@holder";
     constexpr auto releaseKey = "@released";
     constexpr auto handoverKey = "@handover";
@@ -63,6 +66,28 @@
         });
     }
 
+    std::string progressKey(const Common::job_id& job, int part)
+    {
+        return part == 0 ? job.value : job.value + partSeparator + std::to_string(part);
+    }
+
+    struct progress_key {
+        Common::job_id job;
+        int part { 0 };
+    };
+
+    std::optional<progress_key> readProgressKey(const std::string& key)
+    {
+        const auto separator = key.find(partSeparator);
+        if (separator == std::string::npos)
+            return progress_key { .job = { key } };
+        progress_key read { .job = { key.substr(0, separator) } };
+        const auto* end = key.data() + key.size();
+        const auto number = std::from_chars(key.data() + separator + 1, end, read.part);
+        const bool isNumber = number.ec == std::errc() && number.ptr == end && read.part > 0;
+        return isNumber ? std::optional(read) : std::nullopt;
+    }
+
     std::optional<claim_record> decodeClaim(const std::string& value)
     {
         return readValue(value, [](const Common::json& in) {
@@ -134,11 +159,13 @@
     return { .key = std::move(key), .value = std::move(value) };
 }
 
-Records::keyed_record progressRecord(const Jobs::job_progress& progress)
+Records::keyed_record progressRecord(const Jobs::job_progress& progress, int part)
 {
-    return { .key = progress.job.value, .value = Jobs::encodeProgress(progress) };
+    return { .key = progressKey(progress.job, part), .value = Jobs::encodeProgress(progress) };
 }
 
+Records::keyed_record progressRemoval(const Common::job_id& job, int part) { return { .key = progressKey(job, part) }; }
+
 Records::keyed_record claimRecord(const claim_record& claim)
 {
     Common::json object { { "member", claim.member }, { "number", claim.number } };
@@ -264,9 +291,10 @@
             reportUnreadable("wave", record);
         return;
     }
-    auto progress = Jobs::decodeProgress({ record.key }, record.value);
+    const auto key = readProgressKey(record.key);
+    auto progress = key ? Jobs::decodeProgress(key->job, record.value) : std::nullopt;
     if (progress)
-        m_jobRegistry.advance(std::move(*progress));
+        m_jobRegistry.advance(std::move(*progress), key->part);
     else
         reportUnreadable("progress", record);
 }
--- a/Source/Core/ControlPlane/JobFeeds.h
+++ b/Source/Core/ControlPlane/JobFeeds.h
@@ -35,7 +35,10 @@
 Records::keyed_record cancelRecord(const Common::job_id&);
 /// Cancellation of a job that isn't known: it cancels the job only if the scope covers it.
 Records::keyed_record cancelRecord(const Common::job_id&, const Jobs::caller_scope&);
-Records::keyed_record progressRecord(const Jobs::job_progress&);
+/// Progress of a job, or one part of it. Part 0 has the key of the job.
+Records::keyed_record progressRecord(const Jobs::job_progress&, int part = 0);
+/// Deletes a part that isn't needed any more.
+Records::keyed_record progressRemoval(const Common::job_id&, int part);
 Records::keyed_record claimRecord(const claim_record&);
 /// Heartbeat of the leader with this claim.
 Records::keyed_record heartbeatRecord(std::int64_t number);
--- a/Source/Core/ControlPlane/LeaderTerm.cpp
+++ b/Source/Core/ControlPlane/LeaderTerm.cpp
@@ -36,14 +36,6 @@
     /// Run numbers that one term may use for a task.
     constexpr std::int64_t runsPerTerm = 1000;
 
-    std::vector<Records::keyed_record> progressRecords(const Dispatch::commit_batch& batch)
-    {
-        std::vector<Records::keyed_record> records;
-        for (const auto& progress : batch.progress)
-            records.push_back(progressRecord(progress));
-        return records;
-    }
-
 }
 
 leader_term::leader_term(
@@ -54,6 +46,7 @@
                        .runBase = { (options.number - 1) * runsPerTerm },
                        .bounds = options.workerBounds },
           parts.timers.now(), *this)
+    , m_progressWriter(parts.jobRegistry, options.storeLimits)
     , m_appender(std::make_shared<Records::batch_appender>(parts.store, parts.timers,
           Records::appender_options { .partition = options.progressTopic,
               .writer = options.writer,
@@ -61,6 +54,7 @@
               .sequence = 1,
               .appendInterval = commitInterval,
               .callTimeout = commitTimeout,
+              .maxBytes = std::min(Records::appender_options().maxBytes, options.storeLimits.appendBytes),
               .onStored = [&reader = parts.progressReader](const auto& records,
                               Common::log_offset first) { reader.applyStored(records, first); } }))
     , m_orders(parts.timers.now())
@@ -107,11 +101,11 @@
             { "cancelled_jobs", std::to_string(cancelledJobs.size()) } });
     for (const auto& id : openJobs) {
         const auto* job = m_parts.jobRegistry.find(id);
-        m_dispatcher.addJob(*job->record, job->progress, now);
+        m_dispatcher.addJob(*job->record, job->wholeProgress(), now);
     }
     for (const auto& id : cancelledJobs) {
         const auto* job = m_parts.jobRegistry.find(id);
-        m_dispatcher.addJob(*job->record, job->progress, now);
+        m_dispatcher.addJob(*job->record, job->wholeProgress(), now);
         m_dispatcher.cancelJob(id);
     }
     if (m_capacity)
@@ -148,7 +142,7 @@
         self->stop();
         onEnd(isStored);
     };
-    m_appender->add(std::move(records),
+    append(std::move(records),
         [end](Records::append_outcome outcome) { end(outcome == Records::append_outcome::Stored); });
     m_parts.timers.after(timeout, [end] { end(false); });
 }
@@ -206,7 +200,7 @@
     const auto* job = m_parts.jobRegistry.find(id);
     if (!job || !m_isStarted)
         return;
-    m_dispatcher.addJob(*job->record, job->progress, m_parts.timers.now());
+    m_dispatcher.addJob(*job->record, job->wholeProgress(), m_parts.timers.now());
     if (job->isCancelled)
         m_dispatcher.cancelJob(id);
     schedulePlan();
@@ -434,11 +428,30 @@
         store(std::move(records), batch);
 }
 
+std::vector<Records::keyed_record> leader_term::progressRecords(const Dispatch::commit_batch& batch)
+{
+    std::vector<Records::keyed_record> records;
+    for (const auto& progress : batch.progress) {
+        const auto* job = m_dispatcher.recordOf(progress.job);
+        auto written = m_progressWriter.write(job->spec, progress);
+        records.insert(records.end(), std::make_move_iterator(written.begin()), std::make_move_iterator(written.end()));
+    }
+    return records;
+}
+
+void leader_term::append(std::vector<Records::keyed_record> records, Records::batch_appender::done_handler done)
+{
+    auto groups = divideIntoAppends(std::move(records), m_options.storeLimits);
+    for (std::size_t index = 0; index + 1 < groups.size(); ++index)
+        m_appender->add(std::move(groups[index]), [](Records::append_outcome) {});
+    m_appender->add(std::move(groups.back()), std::move(done));
+}
+
 void leader_term::store(std::vector<Records::keyed_record> records, const Dispatch::commit_batch& batch)
 {
     ++m_pendingCommits;
     m_commitBeganAt = m_parts.timers.now();
-    m_appender->add(
+    append(
         std::move(records), [self = shared_from_this(), batch](Records::append_outcome outcome) {
             --self->m_pendingCommits;
             if (outcome != Records::append_outcome::Stored) {
@@ -456,7 +469,8 @@
 
 void leader_term::applyStored(const Jobs::job_progress& progress)
 {
-    m_parts.jobRegistry.advance(progress);
+    // The tasks are read back from the log.
+    m_parts.jobRegistry.noteState(progress.job, progress.state);
     // The term may have ended while the answers to one append are handled.
     if (m_states)
         m_states->publish(progress.job, progress.state);
--- a/Source/Core/ControlPlane/LeaderTerm.h
+++ b/Source/Core/ControlPlane/LeaderTerm.h
@@ -4,6 +4,7 @@
 #include "ControlPlane/Counters.h"
 #include "ControlPlane/LeaderElection.h"
 #include "ControlPlane/LeaderLoad.h"
+#include "ControlPlane/ProgressWriter.h"
 #include "ControlPlane/StartPermission.h"
 #include "ControlPlane/StatePublisher.h"
 #include "Dispatch/Dispatcher.h"
@@ -42,6 +43,7 @@
     Records::topic_partition statusTopic;
     std::string writer;
     Dispatch::worker_bounds workerBounds;
+    Records::store_limits storeLimits;
 };
 
 /// One term of the leader: passes events to the dispatcher, sends its orders and stores its progress.
@@ -111,6 +113,10 @@
     void noteAnswer(order_kind, Common::instant sentAt, Common::millis wait, const Dispatch::order_reply&);
     void storeWave(const Capacity::wave_status&, const std::function<void()>& onStored);
     void flush();
+    std::vector<Records::keyed_record> progressRecords(const Dispatch::commit_batch&);
+    /// Appends the records, in as many appends as they need. The handler gets the outcome of the last one, which isn't
+    /// stored unless the others are.
+    void append(std::vector<Records::keyed_record>, Records::batch_appender::done_handler);
     void store(std::vector<Records::keyed_record>, const Dispatch::commit_batch&);
     void applyStored(const Jobs::job_progress&);
     void loseLeadership(const char* why);
@@ -118,6 +124,7 @@
     leader_term_parts m_parts;
     leader_term_options m_options;
     Dispatch::dispatcher m_dispatcher;
+    progress_writer m_progressWriter;
     std::shared_ptr<Records::batch_appender> m_appender;
     /// Empty before the first heartbeat.
     std::unique_ptr<state_publisher> m_states;
--- a/Source/Core/ControlPlane/LeadershipManager.cpp
+++ b/Source/Core/ControlPlane/LeadershipManager.cpp
@@ -102,7 +102,8 @@
             .stateTopic = m_options.stateTopic,
             .statusTopic = m_options.statusTopic,
             .writer = leaderWriter,
-            .workerBounds = m_options.workerBounds },
+            .workerBounds = m_options.workerBounds,
+            .storeLimits = m_options.storeLimits },
         [this] { loseTerm(); });
     m_term->startHeartbeats();
     // The workers and jobs of earlier leaders must be known before anything is started.
--- a/Source/Core/ControlPlane/LeadershipManager.h
+++ b/Source/Core/ControlPlane/LeadershipManager.h
@@ -34,6 +34,7 @@
     Records::topic_partition stateTopic;
     Records::topic_partition statusTopic;
     Dispatch::worker_bounds workerBounds;
+    Records::store_limits storeLimits;
 };
 
 /// Takes part in leader election and runs the terms that it wins.
--- /dev/null
+++ b/Source/Core/ControlPlane/ProgressWriter.cpp
@@ -0,0 +1,100 @@
+#include "ControlPlane/ProgressWriter.h"
+
+#include "Common/Hashing.h"
+#include "Common/Logging.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace ControlPlane {
+
+std::vector<Records::keyed_record> progress_writer::write(const Jobs::job_spec& spec, const Jobs::job_progress& progress)
+{
+    if (Jobs::isFinal(progress.state))
+        return writeLast(progress);
+    const Jobs::progress_division division(spec);
+    if (division.partCount() == 1)
+        return { fittingRecord(progress, 0) };
+    std::vector<Records::keyed_record> records;
+    auto& written = m_written[progress.job.value];
+    auto parts = division.divide(progress);
+    for (int number = 0; number < division.partCount(); ++number) {
+        auto& tasks = parts[static_cast<std::size_t>(number)];
+        const auto last = written.find(number);
+        const bool isStored = last != written.end() || hasPart(progress.job, number);
+        if (number > 0 && tasks.empty() && !isStored)
+            continue;
+        auto record = fittingRecord({ .job = progress.job, .state = progress.state, .tasks = std::move(tasks) }, number);
+        auto digest = Common::contentDigest(record.value);
+        if (last != written.end() && last->second == digest)
+            continue;
+        written[number] = std::move(digest);
+        records.push_back(std::move(record));
+    }
+    return records;
+}
+
+std::vector<Records::keyed_record> progress_writer::writeLast(const Jobs::job_progress& progress)
+{
+    std::set<int> parts;
+    if (const auto written = m_written.find(progress.job.value); written != m_written.end()) {
+        for (const auto& [number, digest] : written->second)
+            parts.insert(number);
+        m_written.erase(written);
+    }
+    if (const auto* job = m_registry.find(progress.job)) {
+        for (const auto& [number, tasks] : job->laterParts)
+            parts.insert(number);
+    }
+    parts.erase(0);
+    std::vector<Records::keyed_record> records { progressRecord(progress) };
+    for (const int number : parts)
+        records.push_back(progressRemoval(progress.job, number));
+    return records;
+}
+
+Records::keyed_record progress_writer::fittingRecord(Jobs::job_progress progress, int part) const
+{
+    auto record = progressRecord(progress, part);
+    while (Records::sizeInAppend(record) > m_limits.recordBytes) {
+        const auto longest = std::max_element(progress.tasks.begin(), progress.tasks.end(),
+            [](const auto& left, const auto& right) { return left.checkpoint.size() < right.checkpoint.size(); });
+        if (longest == progress.tasks.end() || longest->checkpoint.empty())
+            break;
+        // A task without its checkpoint begins anew under the next leader, unless its worker lists the checkpoint.
+        const auto limit = longest->checkpoint.size() / 2;
+        for (auto& task : progress.tasks) {
+            if (task.checkpoint.size() > limit)
+                task.checkpoint.clear();
+        }
+        Common::writeEvent(Common::log_level::Warning, Common::log_category::Dispatch, "checkpoints_not_stored",
+            { { "job", progress.job.value }, { "part", std::to_string(part) }, { "longer_than", std::to_string(limit) } });
+        record = progressRecord(progress, part);
+    }
+    return record;
+}
+
+bool progress_writer::hasPart(const Common::job_id& id, int part) const
+{
+    const auto* job = m_registry.find(id);
+    return job && job->laterParts.contains(part);
+}
+
+std::vector<std::vector<Records::keyed_record>> divideIntoAppends(
+    std::vector<Records::keyed_record> records, const Records::store_limits& limits)
+{
+    std::vector<std::vector<Records::keyed_record>> groups;
+    std::size_t bytes = 0;
+    for (auto& record : records) {
+        const auto size = Records::sizeInAppend(record);
+        if (groups.empty() || bytes + size > limits.appendBytes) {
+            groups.emplace_back();
+            bytes = 0;
+        }
+        bytes += size;
+        groups.back().push_back(std::move(record));
+    }
+    return groups;
+}
+
+}
--- a/Source/Core/Dispatch/Dispatcher.cpp
+++ b/Source/Core/Dispatch/Dispatcher.cpp
@@ -191,6 +191,12 @@
     return found == m_jobs.end() ? nullptr : found->second.get();
 }
 
+const Jobs::job_record* dispatcher::recordOf(const Common::job_id& id) const
+{
+    const auto found = m_jobs.find(id.value);
+    return found == m_jobs.end() ? nullptr : &found->second->record();
+}
+
 const Rules::queue_rule* dispatcher::queueOf(const open_job& job) const
 {
     return m_rules.findQueue(job.record().queue);
--- a/Source/Core/Dispatch/Dispatcher.h
+++ b/Source/Core/Dispatch/Dispatcher.h
@@ -197,6 +197,8 @@
     /// Whether another leader has taken over, so that no more orders may be sent.
     bool isFenced() const { return m_isFenced; }
     bool hasJob(const Common::job_id& id) const { return m_jobs.contains(id.value); }
+    /// Null when the job isn't open.
+    const Jobs::job_record* recordOf(const Common::job_id&) const;
     pool_demand demandOf(const Common::pool_id&, Common::wall_millis wall);
     dispatch_backlog backlog(Common::instant now) const;
     const std::map<Common::worker_id, worker_state>& workers() const { return m_workers; }
--- a/Source/Core/Jobs/Job.h
+++ b/Source/Core/Jobs/Job.h
@@ -124,4 +124,25 @@
     friend bool operator==(const job_progress&, const job_progress&) = default;
 };
 
+/// Divides the progress of a job into parts, each of which fits a record of the log. The log keeps the newest record of
+/// each part. The division depends on the job's steps only, and mustn't change: the parts of two divisions would be mixed.
+class progress_division {
+public:
+    static constexpr std::int64_t tasksPerPart = 256;
+
+    explicit progress_division(const job_spec&);
+
+    int partCount() const;
+    /// Number of the part that holds the task, from 0.
+    int partOf(const task_progress&) const;
+    /// The tasks by part; the parts without tasks are empty.
+    std::vector<std::vector<task_progress>> divide(const job_progress&) const;
+
+private:
+    /// Number of the first task of each step, in an occurrence.
+    std::vector<std::int64_t> m_firstTasks;
+    std::int64_t m_tasksPerOccurrence { 0 };
+    std::int64_t m_occurrences { 1 };
+};
+
 }
--- a/Source/Core/Jobs/JobRegistry.cpp
+++ b/Source/Core/Jobs/JobRegistry.cpp
@@ -41,12 +41,28 @@
     return std::any_of(first, last, [&scope](const auto& entry) { return entry.second == scope; });
 }
 
-void job_registry::advance(job_progress progress)
+job_progress known_job::wholeProgress() const
+{
+    auto whole = progress;
+    for (const auto& [number, tasks] : laterParts)
+        whole.tasks.insert(whole.tasks.end(), tasks.begin(), tasks.end());
+    return whole;
+}
+
+void job_registry::advance(job_progress progress, int part)
 {
     auto& job = m_jobs[progress.job.value];
     // The leader applies a final state before it reads its own, possibly older, records back.
-    if (!isFinal(job.progress.state))
-        job.progress = std::move(progress);
+    if (isFinal(job.progress.state))
+        return;
+    if (part > 0) {
+        job.progress.job = progress.job;
+        job.laterParts[part] = std::move(progress.tasks);
+        return;
+    }
+    job.progress = std::move(progress);
+    if (isFinal(job.progress.state))
+        job.laterParts.clear();
 }
 
 void job_registry::noteState(const Common::job_id& id, job_state state)
--- a/Source/Core/Jobs/JobRegistry.h
+++ b/Source/Core/Jobs/JobRegistry.h
@@ -3,6 +3,7 @@
 #include "Jobs/Job.h"
 
 #include <functional>
+#include <map>
 #include <optional>
 #include <unordered_map>
 #include <vector>
@@ -14,7 +15,13 @@
     /// Empty while only a cancellation or progress has been seen.
     std::optional<job_record> record;
     bool isCancelled { false };
+    /// State of the job, and the first part of its progress.
     job_progress progress;
+    /// Tasks of the other parts, by number.
+    std::map<int, std::vector<task_progress>> laterParts;
+
+    /// State and tasks of all parts.
+    job_progress wholeProgress() const;
 };
 
 /// Queue and team of a call. An empty team, of the call or of the job, matches any.
@@ -38,7 +45,8 @@
     bool cancel(const Common::job_id&, const caller_scope&);
     /// Whether this cancellation is kept for a job that isn't known.
     bool awaitsJob(const Common::job_id&, const caller_scope&) const;
-    void advance(job_progress);
+    /// Replaces one part of a job's progress. The first one has the state of the job.
+    void advance(job_progress, int part = 0);
     /// Notes a published state. What is known of the job's tasks stays.
     void noteState(const Common::job_id&, job_state);
     /// Each job with its state, also those of which only progress is known.
--- a/Source/Core/Records/BatchAppender.cpp
+++ b/Source/Core/Records/BatchAppender.cpp
@@ -15,7 +15,7 @@
     {
         std::size_t bytes = 0;
         for (const auto& record : records)
-            bytes += record.key.size() + record.value.size();
+            bytes += sizeInAppend(record);
         return bytes;
     }
 
--- a/Source/Core/Records/RecordStore.h
+++ b/Source/Core/Records/RecordStore.h
@@ -27,6 +27,21 @@
     Common::log_offset offset;
 };
 
+/// What one append may hold. The store refuses anything longer each time.
+struct store_limits {
+    /// Bytes of one record, with its key.
+    std::size_t recordBytes { 262144 };
+    /// Bytes of all records of one append, with their framing.
+    std::size_t appendBytes { 2097152 };
+};
+
+/// Upper bound of the bytes that a record takes in an append; the platform frames each key and value.
+inline std::size_t sizeInAppend(const keyed_record& record)
+{
+    constexpr std::size_t framing = 8;
+    return record.key.size() + record.value.size() + framing;
+}
+
 /// Identifies an append of one writer, so that a retry is stored once. The store fences lower epochs once it has seen a
 /// higher one.
 struct writer_position {
--- a/Source/UnitTests/Core/ControlPlane/JobApiTest.cpp
+++ b/Source/UnitTests/Core/ControlPlane/JobApiTest.cpp
@@ -38,7 +38,7 @@
         api.handle({ .method = method,
                        .target = prefix + job.value,
                        .headers = { { "Host", "h" }, { "Authorization", "Bearer " + key } },
-                       .body = "x" },
+                       .body = body },
             [&status](const EventLoop::http_response& response) { status = response.status; });
         timers.advance(wait);
         return status;
@@ -78,6 +78,7 @@
     Jobs::job_registry jobRegistry;
     std::vector<std::string> accepted;
     std::vector<std::string> cancelled;
+    std::string body { "x" };
     no_sink nothing;
     ControlPlane::intake_feed feed { jobRegistry, *this };
     std::shared_ptr<Records::partition_reader> operators = makeReader("op", nothing);
@@ -94,11 +95,24 @@
         .intake = intake,
         .appender = *appender,
         .format = format,
+        .storeLimits = { .recordBytes = 2000, .appendBytes = 4000 },
         .eventCounters = eventCounters } };
 };
 
 }
 
+TEST_CASE("A job that doesn't fit a record of the store is refused at once, and nothing is sent to the store", "[station]")
+{
+    job_api_fixture s;
+    s.body = std::string(2000, 'x');
+    const int appends = s.store.appends;
+    CHECK(s.call("POST") == 400);
+    CHECK(s.store.appends == appends);
+    CHECK(s.accepted.empty());
+    s.body = std::string(1500, 'x');
+    CHECK(s.call("POST") == 200);
+}
+
 TEST_CASE("A stored job is reported once, and not again when it is read back", "[station]")
 {
     job_api_fixture s;
--- a/Source/UnitTests/Core/ControlPlane/JobFeedsTest.cpp
+++ b/Source/UnitTests/Core/ControlPlane/JobFeedsTest.cpp
@@ -154,6 +154,24 @@
     CHECK(feed.request()->offset == Common::log_offset { 7 });
 }
 
+TEST_CASE("Parts of a job's progress are read by their keys, and a key that isn't one changes nothing", "[station]")
+{
+    Jobs::job_registry jobRegistry;
+    ControlPlane::progress_feed progress(jobRegistry);
+    const Common::job_id id { "j" };
+    jobRegistry.accept({ .id = id, .queue = { "q" }, .spec = { .steps = { {} } } });
+    const Jobs::job_progress part { .job = id, .tasks = { { .index = 300, .isDone = true } } };
+    progress.apply(ControlPlane::progressRecord(part, 1));
+    CHECK(jobRegistry.find(id)->wholeProgress().tasks == part.tasks);
+    CHECK(jobRegistry.find(id)->progress.state == Jobs::job_state::Pending);
+    const auto key = GENERATE(as<std::string> {}, "j#", "j#x", "j#-1", "j#0", "j#99999999999", "j#1x");
+    auto damaged = ControlPlane::progressRecord({ .job = id, .state = Jobs::job_state::Failed });
+    damaged.key = key;
+    progress.apply(damaged);
+    CHECK(jobRegistry.find(id)->wholeProgress().tasks == part.tasks);
+    CHECK(jobRegistry.find(id)->progress.state == Jobs::job_state::Pending);
+}
+
 TEST_CASE("A published state is shown, and what is known of the job's tasks stays", "[station]")
 {
     Jobs::job_registry jobRegistry;
--- a/Source/UnitTests/Core/ControlPlane/LeadershipFixture.h
+++ b/Source/UnitTests/Core/ControlPlane/LeadershipFixture.h
@@ -3,7 +3,7 @@
 #include "../Records/FakeStore.h"
 #include "ControlPlane/LeadershipManager.h"
 
-/// A worker without tasks that answers polls, unless it is unresponsive.
+/// A worker that answers polls, unless it is unresponsive.
 struct idle_worker : Dispatch::worker_gateway {
     explicit idle_worker(manual_timers& owner)
         : timers(owner)
@@ -19,11 +19,9 @@
 
     void start(const Dispatch::start_order& order, Dispatch::fencing_token, Common::millis, reply_handler handler) override
     {
+        ++starts[order.task];
         if (finishesTasks)
-            ended.push_back({ .number = { static_cast<std::int64_t>(ended.size()) + 1 },
-                .task = order.task,
-                .run = order.run,
-                .kind = Dispatch::end_kind::Done });
+            running.push_back({ .endsAt = timers.now() + workTime, .task = order.task, .run = order.run });
         timers.after(Common::millis(2), [handler] { handler(done()); });
     }
     void stop(const Dispatch::stop_order&, Dispatch::fencing_token, Common::millis, reply_handler) override { }
@@ -35,7 +33,10 @@
             timers.after(timeout, [handler] { handler({}); });
         else
             timers.after(Common::millis(2), [this, handler, acknowledged = order.acknowledgedEnd] {
+                endTasks();
                 Dispatch::poll_order_reply reply { .base = done() };
+                for (const auto& run : running)
+                    reply.running.push_back({ .task = run.task, .run = run.run });
                 std::copy_if(ended.begin(), ended.end(), std::back_inserter(reply.ended),
                     [acknowledged](const auto& end) { return end.number > acknowledged; });
                 handler(reply);
@@ -43,10 +44,32 @@
     }
     void keepOnly(const std::vector<Common::worker_id>&) override { }
 
+    void endTasks()
+    {
+        std::erase_if(running, [this](const auto& run) {
+            const bool isOver = run.endsAt <= timers.now();
+            if (isOver)
+                ended.push_back({ .number = { static_cast<std::int64_t>(ended.size()) + 1 },
+                    .task = run.task,
+                    .run = run.run,
+                    .kind = Dispatch::end_kind::Done });
+            return isOver;
+        });
+    }
+
+    struct running_task {
+        Common::instant endsAt;
+        Jobs::task_name task;
+        Dispatch::run_number run;
+    };
+
     manual_timers& timers;
     bool isUnresponsive { false };
-    /// Tasks end as soon as they are started.
+    std::map<Jobs::task_name, int> starts;
+    /// Tasks end `workTime` after their start; otherwise none is listed.
     bool finishesTasks { false };
+    Common::millis workTime { 0 };
+    std::vector<running_task> running;
     std::vector<Dispatch::listed_end> ended;
 };
 
--- a/Source/UnitTests/Core/Records/FakeStore.h
+++ b/Source/UnitTests/Core/Records/FakeStore.h
@@ -68,6 +68,11 @@
         std::function<void(Records::append_result)> handler) override
     {
         ++appends;
+        if (isTooLong(request)) {
+            ++tooLong;
+            timers.after(delay, [handler] { handler({ .outcome = Records::append_outcome::Refused }); });
+            return;
+        }
         if (unwritable) {
             const bool isAnswered = *unwritable != Records::append_outcome::Unknown;
             timers.after(isAnswered ? delay : timeout, [handler, outcome = *unwritable] { handler({ .outcome = outcome }); });
@@ -227,6 +232,18 @@
         return result;
     }
 
+    bool isTooLong(const Records::append_request& request) const
+    {
+        constexpr std::size_t framing = 5;
+        std::size_t bytes = 0;
+        for (const auto& record : request.records) {
+            if (sizeOf(record) + framing > limits.recordBytes)
+                return true;
+            bytes += sizeOf(record) + framing;
+        }
+        return bytes > limits.appendBytes;
+    }
+
     static std::size_t sizeOf(const Records::keyed_record& record) { return record.key.size() + record.value.size(); }
 
     template <typename RecordList>
@@ -254,6 +271,9 @@
     std::set<Records::topic_partition> silentPartitions;
     /// Reads of these aren't answered.
     std::set<Records::topic_partition> unreadable;
+    Records::store_limits limits;
+    /// Appends that were refused because they exceed the limits.
+    int tooLong { 0 };
     int appends { 0 };
     int reads { 0 };
     /// Outcome of all appends; none is executed. Reads aren't affected.
--- a/Source/UnitTests/Platform/DecodeTest.cpp
+++ b/Source/UnitTests/Platform/DecodeTest.cpp
@@ -142,6 +142,13 @@
     const auto invalid = Platform::parseNodeSettings(complete + "[limits]\ncpuShare = \"all\"\nlinkMbps = -1\n");
     REQUIRE(invalid.settings);
     CHECK(invalid.settings->capacity == ControlPlane::instance_capacity());
+    CHECK(result.settings->storeLimits.recordBytes == 262144);
+    const auto withLimits = Platform::parseNodeSettings(
+        "node = \"n\"\n[listen]\nfront = \"10.0.0.1:80\"\nready = \"10.0.0.1:81\"\n"
+        "[platform]\naddress = \"10.0.0.2:80\"\nrecordBytes = 1000\ncallBytes = -1\n");
+    REQUIRE(withLimits.settings);
+    CHECK(withLimits.settings->storeLimits.recordBytes == 1000);
+    CHECK(withLimits.settings->storeLimits.appendBytes == 2097152);
     const auto incomplete = Platform::parseNodeSettings("node = \"n\"\n");
     CHECK_FALSE(incomplete.settings);
     CHECK(incomplete.subject == "listen.front");
