The bound of a lease covers what the worker's clock may have fallen behind since it was read

Cause: the deadline on the worker's clock is estimated from its last reading, which may be old, since idle workers aren't polled. The leader's bound had no share for the age of the reading.

Change: grantLease adds 3% of that age to the bound, up to the longest lease of workers. Deadlines stay as they are.

--- a/Source/Core/Dispatch/Dispatcher.cpp
+++ b/Source/Core/Dispatch/Dispatcher.cpp
@@ -41,7 +41,7 @@
         auto& worker = m_workers.emplace(entry.id, worker_state(entry)).first->second;
         worker.firstSeenAt = seenAt;
         // An earlier leader may have renewed leases there until now.
-        worker.grantLease(now, m_options.lease.maxLease);
+        worker.noteLease(now, m_options.lease.maxLease);
         indexWorker(worker);
         return;
     }
@@ -98,7 +98,7 @@
     auto& worker = m_workers.emplace(id, worker_state({ .id = id, .pool = pool })).first->second;
     worker.isRegistered = false;
     worker.firstSeenAt = now;
-    worker.grantLease(now, m_options.lease.maxLease);
+    worker.noteLease(now, m_options.lease.maxLease);
     indexWorker(worker);
     return worker;
 }
--- a/Source/Core/Dispatch/DispatcherLeases.cpp
+++ b/Source/Core/Dispatch/DispatcherLeases.cpp
@@ -112,7 +112,7 @@
         const bool isExtended = m_currentLease >= m_options.lease.minLease && worker.knowsClock()
             && worker.unansweredPolls == 0 && !worker.runs.empty() && !hasUnstoppedRuns(worker);
         if (isExtended)
-            order.deadline = worker.grantLease(now, m_currentLease);
+            order.deadline = worker.grantLease(now, m_currentLease, m_options.bounds);
         if (isExtended && !worker.hasRunsIn(run_phase::Stopping))
             order.wait = pollWait;
         worker.isPollInFlight = true;
--- a/Source/Core/Dispatch/DispatcherPlacements.cpp
+++ b/Source/Core/Dispatch/DispatcherPlacements.cpp
@@ -130,7 +130,7 @@
         .run = planned.run,
         .payload = job.record().spec.payload,
         .checkpoint = job.find(planned.task)->checkpoint,
-        .deadline = worker.grantLease(now, startLease()) });
+        .deadline = worker.grantLease(now, startLease(), m_options.bounds) });
 }
 
 void dispatcher::releaseUnsent(Common::instant now)
--- a/Source/Core/Dispatch/WorkerState.cpp
+++ b/Source/Core/Dispatch/WorkerState.cpp
@@ -1,6 +1,7 @@
 #include "Dispatch/WorkerState.h"
 
 #include <algorithm>
+#include <cmath>
 
 namespace Dispatch {
 
@@ -44,9 +45,18 @@
         leaseExpiryBound, now + std::chrono::duration_cast<Common::boot_clock::duration>(slow) + expirySlack);
 }
 
-worker_millis worker_state::grantLease(Common::instant now, Common::millis lease)
+Common::millis worker_state::clockLag(Common::instant now) const
 {
-    noteLease(now, lease);
+    if (!m_clock)
+        return Common::millis(0);
+    const auto age = static_cast<double>(Common::elapsed(m_clock->at, now).count());
+    return Common::millis(static_cast<std::int64_t>(std::ceil(age * (maxClockSlowness - 1))));
+}
+
+worker_millis worker_state::grantLease(Common::instant now, Common::millis lease, const worker_bounds& bounds)
+{
+    // The deadline comes later, by as much as the clock has fallen behind the estimate since it was read.
+    noteLease(now, std::min(lease + clockLag(now), bounds.longestLease));
     return { clockAt(now).value + lease.count() };
 }
 
--- a/Source/Core/Dispatch/WorkerState.h
+++ b/Source/Core/Dispatch/WorkerState.h
@@ -113,12 +113,13 @@
     }
     void learnClock(worker_millis, Common::instant receivedAt);
     bool knowsClock() const { return m_clock.has_value(); }
-    /// Estimate of the worker's clock at `now`; it may run slower than ours by a factor of up to `maxClockSlowness`.
+    /// The worker's clock at `now`, if it runs like ours. It may have fallen behind this by `clockLag`.
     worker_millis clockAt(Common::instant now) const;
+    Common::millis clockLag(Common::instant now) const;
     /// Advances `leaseExpiryBound`: leases may have been granted that last for `lease` from `now`.
     void noteLease(Common::instant now, Common::millis lease);
     /// Deadline for an order that grants `lease` from `now`; also advances `leaseExpiryBound`.
-    worker_millis grantLease(Common::instant now, Common::millis lease);
+    worker_millis grantLease(Common::instant now, Common::millis lease, const worker_bounds&);
     /// To be called with each registration of the same incarnation.
     void updateEntry(worker_entry);
     /// Discards the state of the earlier incarnation.
