Numbers of ends are compared within one incarnation of a worker only

Cause: each incarnation counts its ends anew. A batch that was stored after its worker had restarted acknowledged as many ends of the next incarnation, and each poll repeated the last acknowledgement, which a restarted worker applies to its own ends.

Change: the ends of a batch name their incarnation. An acknowledgement is sent until that incarnation has answered it, and not again.

--- a/Source/Core/Dispatch/Dispatcher.cpp
+++ b/Source/Core/Dispatch/Dispatcher.cpp
@@ -274,13 +274,12 @@
 {
     for (const auto& progress : batch.progress)
         markStored(progress);
-    for (const auto& [id, end] : batch.coveredEnds) {
+    for (const auto& [id, ends] : batch.coveredEnds) {
         const auto found = m_workers.find(id);
         if (found == m_workers.end())
             continue;
-        // A number beyond the last reported end belongs to an earlier incarnation.
-        if (end <= found->second.seenEnd)
-            found->second.storedEnd = std::max(found->second.storedEnd, end);
+        if (ends.incarnationStartedAt == found->second.entry.incarnationStartedAt)
+            found->second.storedEnd = std::max(found->second.storedEnd, ends.last);
         found->second.nextPollAt = now;
     }
 }
--- a/Source/Core/Dispatch/Dispatcher.h
+++ b/Source/Core/Dispatch/Dispatcher.h
@@ -29,10 +29,16 @@
     std::vector<pace_order> paces;
 };
 
-/// Progress to be stored, and for each worker the number of the last ended run whose end it includes.
+/// Ends of one incarnation of a worker, up to a number. Each incarnation counts its ends anew.
+struct covered_ends {
+    Common::wall_millis incarnationStartedAt;
+    end_number last;
+};
+
+/// Progress to be stored, and for each worker the ends that it includes.
 struct commit_batch {
     std::vector<Jobs::job_progress> progress;
-    std::map<Common::worker_id, end_number> coveredEnds;
+    std::map<Common::worker_id, covered_ends> coveredEnds;
 
     bool empty() const { return progress.empty() && coveredEnds.empty(); }
 };
@@ -430,9 +436,9 @@
     std::vector<worker_loss> m_losses;
     /// For each worker that has restarted, the answered runs of which it isn't known whether they were lost.
     std::map<Common::worker_id, worker_loss> m_openLosses;
-    /// For each worker, the number of the last ended run whose end the next batch includes.
-    std::map<Common::worker_id, end_number> m_uncommittedEnds;
-    /// For each worker, the number of the last ended run that was acknowledged to it.
+    /// For each worker, the ends that the next batch includes.
+    std::map<Common::worker_id, covered_ends> m_uncommittedEnds;
+    /// For each worker, the number of the last end whose acknowledgement its present incarnation has answered.
     std::map<Common::worker_id, end_number> m_acknowledgedEnds;
     /// All workers to which an earlier leader may have sent orders are known.
     bool m_areWorkersKnown { false };
--- a/Source/Core/Dispatch/DispatcherLeases.cpp
+++ b/Source/Core/Dispatch/DispatcherLeases.cpp
@@ -107,7 +107,10 @@
         // A worker that didn't answer gets no work until it answers a poll.
         if (worker.hasReported && !worker.failedAt && !hasStarted && !hasNewAcknowledgement)
             continue;
-        poll_order order { .worker = worker.recipient(), .acknowledgedEnd = worker.storedEnd };
+        poll_order order { .worker = worker.recipient() };
+        // An incarnation that isn't known yet would forget its own ends up to this number, so only new ones are acknowledged.
+        if (hasNewAcknowledgement)
+            order.acknowledgedEnd = worker.storedEnd;
         // An unresponsive worker gets no renewal, so that its leases expire.
         const bool isExtended = m_currentLease >= m_options.lease.minLease && worker.knowsClock()
             && worker.unansweredPolls == 0 && !worker.runs.empty() && !hasUnstoppedRuns(worker);
@@ -116,7 +119,6 @@
         if (isExtended && !worker.hasRunsIn(run_phase::Stopping))
             order.wait = pollWait;
         worker.isPollInFlight = true;
-        m_acknowledgedEnds[id] = worker.storedEnd;
         orders.polls.push_back(order);
     }
 }
--- a/Source/Core/Dispatch/DispatcherReplies.cpp
+++ b/Source/Core/Dispatch/DispatcherReplies.cpp
@@ -204,6 +204,8 @@
         suspect(worker, now, noAnswerBackoff);
         return;
     }
+    if (order.worker.incarnationStartedAt == worker.entry.incarnationStartedAt)
+        m_acknowledgedEnds[worker.entry.id] = std::max(m_acknowledgedEnds[worker.entry.id], order.acknowledgedEnd);
     worker.unansweredPolls = 0;
     worker.failedAt.reset();
     worker.hasReported = true;
@@ -220,7 +222,7 @@
         handleEnd(worker, end, now);
     }
     if (worker.seenEnd > worker.storedEnd)
-        m_uncommittedEnds[worker.entry.id] = worker.seenEnd;
+        m_uncommittedEnds[worker.entry.id] = { worker.entry.incarnationStartedAt, worker.seenEnd };
     reconcile(worker, reply, sentAt, now);
     worker.nextPollAt = worker.seenEnd > worker.storedEnd ? now + commitWait : now;
 }
--- a/Source/UnitTests/Core/Dispatch/RestartedWorkerTest.cpp
+++ b/Source/UnitTests/Core/Dispatch/RestartedWorkerTest.cpp
@@ -238,3 +238,40 @@
     CHECK(f.plan().starts.empty());
     CHECK(f.dispatcher.workers().at({ "w1" }).runs.size() == 1);
 }
+
+/// Guards against acknowledgements of ends that aren't stored: the worker forgets them, and their tasks run again.
+TEST_CASE("Numbers of ends are those of one incarnation", "[dispatch][restart]")
+{
+    restart_fixture f;
+    for (const auto& start : f.starts)
+        f.accept(start);
+    f.answerPoll(f.nextPoll().value(), {}, { f.ended(f.starts[0], Dispatch::end_kind::Failed), f.ended(f.starts[1], Dispatch::end_kind::Failed) });
+    SECTION("what is stored of an earlier one acknowledges nothing of the next")
+    {
+        const auto batch = f.dispatcher.takeCommit();
+        f.registerAgain();
+        f.isStored = false;
+        f.lastEnd = 0;
+        // The next incarnation has ended other runs under the same numbers.
+        Dispatch::start_order unknown { .task = { .job = { "other" } }, .run = { 1 } };
+        f.answerPoll(f.nextPoll().value(), {}, { f.ended(unknown, Dispatch::end_kind::Done), f.ended(unknown, Dispatch::end_kind::Done) });
+        f.dispatcher.onCommitted(batch, f.now);
+        CHECK(f.dispatcher.workers().at({ "w1" }).storedEnd == Dispatch::end_number());
+    }
+    SECTION("an acknowledgement is sent until it is answered, and not again")
+    {
+        f.dispatcher.onCommitted(f.dispatcher.takeCommit(), f.now);
+        const auto first = f.nextPoll().value();
+        CHECK(first.acknowledgedEnd.value == 2);
+        f.openPolls.clear();
+        f.dispatcher.onPollReply(first, { .base = dispatcher_fixture::reply(Dispatch::order_outcome::NoAnswer) }, f.now, f.now);
+        const auto again = f.nextPoll().value();
+        CHECK(again.acknowledgedEnd.value == 2);
+        f.answerPoll(again);
+        // The tasks are started again, so the worker is polled; it may have restarted meanwhile.
+        f.now += std::chrono::seconds(3);
+        for (const auto& start : f.plan().starts)
+            f.accept(start);
+        CHECK(f.nextPoll().value().acknowledgedEnd.value == 0);
+    }
+}
