An order to the known incarnation is answered by it or a later one, whatever start times they state

Callers could see: a worker whose time of day was set back across a restart got no work, and was polled without a pause, since all its answers counted as those of an earlier incarnation.

Cause: incarnations were ordered by the times that they state, also where the order of events is known.

Change: an answer to an order that was sent to the known incarnation comes from that one or a later one. The stated times decide only about answers to orders that were sent before, and about registrations.

--- a/Source/Core/Dispatch/DispatcherIncarnations.cpp
+++ b/Source/Core/Dispatch/DispatcherIncarnations.cpp
@@ -10,7 +10,7 @@
 ///   incarnation, until that one has answered a poll that was sent after the start was answered.
 /// - The clock of an incarnation is known from its lists only. A deadline on the clock of an earlier one may be any time on
 ///   its own, so it may grant the longest lease of the worker.
-/// - What names an earlier incarnation than the known one is out of date.
+/// - What names an earlier incarnation than the known one is out of date, unless it answers an order to the known one.
 namespace Dispatch {
 
 namespace {
@@ -33,7 +33,9 @@
     const auto named = reply.incarnationStartedAt.value_or(recipient.incarnationStartedAt);
     if (named == known)
         return reply_origin::Known;
-    return named < known ? reply_origin::Outdated : reply_origin::NextIncarnation;
+    // An order to the known incarnation is answered by that one or a later one, whatever times they state.
+    const bool isLater = recipient.incarnationStartedAt == known || named > known;
+    return isLater ? reply_origin::NextIncarnation : reply_origin::Outdated;
 }
 
 void dispatcher::noteOrigin(worker_state& worker, reply_origin origin, const order_reply& reply, Common::instant now)
--- a/Source/UnitTests/Core/Dispatch/RestartedWorkerTest.cpp
+++ b/Source/UnitTests/Core/Dispatch/RestartedWorkerTest.cpp
@@ -275,3 +275,14 @@
         CHECK(f.nextPoll().value().acknowledgedEnd.value == 0);
     }
 }
+
+TEST_CASE("A worker has restarted also when it states an earlier start than before", "[dispatch][restart]")
+{
+    restart_fixture f;
+    f.accept(f.starts[0]);
+    f.incarnationStartedAt = { 900 };
+    f.answerPoll(f.nextPoll().value(), { f.listed(f.starts[0]) });
+    CHECK(f.count(Dispatch::dispatch_event_kind::WorkerRestarted) == 1);
+    CHECK(f.dispatcher.workers().at({ "w1" }).entry.incarnationStartedAt == Common::wall_millis { 900 });
+    CHECK(f.runs().at(f.starts[0].task).phase == Dispatch::run_phase::Running);
+}
