A term that has been released isn't kept, and its release ends with the process

Change: the term is dropped once its release is stored or given up; stopping a term ends its release without a callback.

No test measures the memory.

--- a/Source/Core/ControlPlane/LeaderTerm.cpp
+++ b/Source/Core/ControlPlane/LeaderTerm.cpp
@@ -124,6 +124,7 @@
 void leader_term::stop()
 {
     stopOrders();
+    m_isReleaseOver = true;
     m_appender->stop();
     m_states.reset();
 }
@@ -137,7 +138,7 @@
             { "progress", std::to_string(records.size()) }, { "commits_in_flight", std::to_string(m_pendingCommits) } });
     records.push_back(releaseRecord(m_options.number, successor));
     const auto end = [self = shared_from_this(), onEnd = std::move(onEnd)](bool isStored) {
-        if (std::exchange(self->m_isReleaseOver, true))
+        if (self->m_isReleaseOver)
             return;
         self->stop();
         onEnd(isStored);
--- a/Source/Core/ControlPlane/LeaderTerm.h
+++ b/Source/Core/ControlPlane/LeaderTerm.h
@@ -62,7 +62,7 @@
     void stop();
     /// After `stopOrders`: stores all that this leader knows, and with it the release, then stops. The store takes the
     /// release only after everything that this term has sent before, and only while no later term has begun. Without an
-    /// answer in `timeout` it may still be stored. `onEnd` is told whether it was.
+    /// answer in `timeout` it may still be stored. `onEnd` is told whether it was, unless `stop` is called before.
     void release(const std::string& successor, Common::millis timeout, std::function<void(bool)> onEnd);
     bool isOver() const { return m_isOver; }
     /// Whether the instance manager has unanswered orders.
@@ -145,7 +145,7 @@
     bool m_isPlanScheduled { false };
     bool m_isStarted { false };
     bool m_isOver { false };
-    /// The release was stored or given up.
+    /// The release was stored or given up, or won't be made.
     bool m_isReleaseOver { false };
 };
 
--- a/Source/Core/ControlPlane/LeadershipManager.cpp
+++ b/Source/Core/ControlPlane/LeadershipManager.cpp
@@ -43,10 +43,9 @@
 
 leadership_manager::~leadership_manager()
 {
-    for (const auto& term : { m_term, m_releasing }) {
-        if (term)
-            term->stop();
-    }
+    if (m_term)
+        m_term->stop();
+    endRelease();
 }
 
 void leadership_manager::start()
@@ -158,6 +157,7 @@
         return;
     }
     m_term.reset();
+    endRelease();
     m_releasing = term;
     term->stopOrders();
     m_parts.intake.setInterval(standbyIntakeInterval);
@@ -174,15 +174,22 @@
             m_parts.timers.after(
                 releasePollInterval, [this, term, successor, until] { release(term, successor, until); });
         else
-            term->stop();
+            endRelease();
         return;
     }
     term->release(successor, releaseTimeout, [this, number = term->number(), successor](bool isStored) {
+        m_releasing.reset();
         if (isStored)
             copyRelease(number, successor);
     });
 }
 
+void leadership_manager::endRelease()
+{
+    if (const auto term = std::exchange(m_releasing, nullptr))
+        term->stop();
+}
+
 void leadership_manager::copyRelease(std::int64_t number, const std::string& successor)
 {
     // Instances that follow only the end of the progress read the copy.
--- a/Source/Core/ControlPlane/LeadershipManager.h
+++ b/Source/Core/ControlPlane/LeadershipManager.h
@@ -85,6 +85,8 @@
     /// Ends the term, if any, and releases leadership if this leader knows all placements.
     void endTerm(const std::string& successor = {});
     void release(const std::shared_ptr<leader_term>&, const std::string& successor, Common::instant until);
+    /// Gives up the release that is under way, if any.
+    void endRelease();
     void copyRelease(std::int64_t number, const std::string& successor);
     void watchHandovers();
     void considerRequestingHandover();
@@ -101,7 +103,7 @@
     /// Back-off after the next term that can't be started.
     Common::millis m_claimBackoff { minClaimBackoff };
     std::shared_ptr<leader_term> m_term;
-    /// The last term that was ended by a release.
+    /// A term whose release is under way.
     std::shared_ptr<leader_term> m_releasing;
     Common::instant m_termBegan;
     handover_candidate m_handoverCandidate;
