A job counts as started only if a later leader reads that in the log

Callers could see (TWICE): two runs of a task at once after an outage of the store.

Cause: without the store, a leader goes on with jobs that the log shows as started. It counted a job as such once any progress of it was stored, also a record without tasks, which is written when a placement is taken back before it is stored. The next leader takes that record for a job that nobody has started, and starts it at once.

Change: Jobs::showsStart says once what stored progress tells a later leader; the writer and the reader use it. A record that may be stored counts as soon as it is on its way.

--- a/Source/Core/Dispatch/Dispatcher.cpp
+++ b/Source/Core/Dispatch/Dispatcher.cpp
@@ -261,8 +261,12 @@
 {
     commit_batch batch;
     for (const auto& id : m_dirty) {
-        if (auto* job = findJob({ id }))
-            batch.progress.push_back(job->progress());
+        auto* job = findJob({ id });
+        if (!job)
+            continue;
+        batch.progress.push_back(job->progress());
+        // The batch may be stored even if that isn't answered.
+        job->isLogged = job->isLogged && Jobs::showsStart(batch.progress.back());
     }
     m_dirty.clear();
     batch.coveredEnds = std::move(m_uncommittedEnds);
--- a/Source/Core/Dispatch/DispatcherPlacements.cpp
+++ b/Source/Core/Dispatch/DispatcherPlacements.cpp
@@ -174,7 +174,7 @@
         return;
     }
     if (auto* job = findJob(progress.job))
-        job->isLogged = true;
+        job->isLogged = Jobs::showsStart(progress);
     for (const auto& task : progress.tasks) {
         const Jobs::task_name name { progress.job, task.occurrence, task.step, task.index };
         if (auto* run = findRun({ .task = name, .worker = task.worker, .run = { task.run } }))
--- a/Source/Core/Dispatch/OpenJob.cpp
+++ b/Source/Core/Dispatch/OpenJob.cpp
@@ -49,7 +49,7 @@
 
 open_job::open_job(const Jobs::job_record& record, const Jobs::job_progress& progress, run_number base)
     : state(progress.state)
-    , isLogged(progress.state != Jobs::job_state::Pending || !progress.tasks.empty())
+    , isLogged(Jobs::showsStart(progress))
     , m_record(record)
     , m_base(base)
     , m_hasLongRunningTasks(std::any_of(record.spec.steps.begin(), record.spec.steps.end(),
--- a/Source/Core/Dispatch/OpenJob.h
+++ b/Source/Core/Dispatch/OpenJob.h
@@ -122,7 +122,7 @@
     Jobs::job_progress progress() const;
 
     Jobs::job_state state { Jobs::job_state::Pending };
-    /// The log has progress of the job, so a later leader treats it as started.
+    /// Whatever the log has of the job, and whatever is on the way there, a later leader treats it as started.
     bool isLogged { false };
     Common::instant addedAt;
     /// Since when a suspected task has waited although a worker has room for it.
--- a/Source/Core/Jobs/Job.h
+++ b/Source/Core/Jobs/Job.h
@@ -124,6 +124,13 @@
     friend bool operator==(const job_progress&, const job_progress&) = default;
 };
 
+/// Whether the stored progress tells a later leader that tasks of the job may be running. Of a job without that nobody may
+/// start anything that isn't stored first.
+inline bool showsStart(const job_progress& progress)
+{
+    return progress.state != job_state::Pending || !progress.tasks.empty();
+}
+
 /// Divides the progress of a job into parts, each of which fits a record of the log. The log keeps the newest record of
 /// each part. The division depends on the job's steps only, and mustn't change: the parts of two divisions would be mixed.
 class progress_division {
--- a/Source/UnitTests/Core/Dispatch/PlacementLogTest.cpp
+++ b/Source/UnitTests/Core/Dispatch/PlacementLogTest.cpp
@@ -236,3 +236,38 @@
     f.dispatcher.onCommitted(batch, f.now);
     CHECK(f.plan().starts.size() == 1);
 }
+
+/// Guards against two runs at once: the next leader takes a job without a start in the log for one that nobody has started.
+TEST_CASE("A job whose start was taken back in the log isn't started without the log", "[dispatch]")
+{
+    dispatcher_fixture f;
+    f.join(f.worker("w1"));
+    f.add(f.job("j", { f.step(1) }));
+    const bool hadStart = GENERATE(false, true);
+    CAPTURE(hadStart);
+    if (hadStart) {
+        const auto refused = f.plan().starts.at(0);
+        f.isStored = false;
+        f.dispatcher.onStart(refused, dispatcher_fixture::reply(Dispatch::order_outcome::DeadlinePassed), f.now);
+    }
+    f.isStored = false;
+    f.plan();
+    REQUIRE(f.dispatcher.awaitsPlacementLog());
+    // The placement is taken back before it was stored, since the worker has shrunk.
+    f.dispatcher.workerRegistered(f.worker("w1", 0), f.now, f.now);
+    f.plan();
+    const auto takenBack = f.dispatcher.takeCommit();
+    REQUIRE(takenBack.progress.size() == 1);
+    REQUIRE_FALSE(Jobs::showsStart(takenBack.progress[0]));
+    const bool isAnswered = GENERATE(true, false);
+    CAPTURE(isAnswered);
+    if (isAnswered)
+        f.dispatcher.onCommitted(takenBack, f.now);
+    f.dispatcher.workerRegistered(f.worker("w1"), f.now, f.now);
+    f.status.isStoreUnresponsive = true;
+    CHECK(f.plan().starts.empty());
+    CHECK(f.plan().starts.empty());
+    // Once the log has the placement, the start is sent.
+    f.isStored = true;
+    CHECK(f.plan().starts.size() == 1);
+}
