--- a/review/standin-2/Case.h
+++ b/review/standin-2/Case.h
@@ -45,10 +45,11 @@
     void startWorker(int worker);
 
     /// Status of the answer, 0 without one.
-    int submit(const std::string& id, const json& job, int instance = 0, const std::string& queue = "/kit/") const;
+    int submit(const std::string& id, const json& job, int instance = 0, const std::string& queue = "/kit/",
+        const std::string& key = "key-1") const;
     int cancel(const std::string& id, int instance = 0) const;
     /// State of a job, or the status of another answer.
-    std::string state(const std::string& id, int instance = 0) const;
+    std::string state(const std::string& id, int instance = 0, const std::string& key = "key-1") const;
     /// Lines of the record that contain all of the words.
     std::vector<std::string> lines(const std::vector<std::string>& words) const;
     int workers() const { return static_cast<int>(m_workers.size()); }
@@ -73,7 +74,7 @@
     pid_t spawn(const std::vector<std::string>& words, const std::string& output, const std::string& settings = {}) const;
     void startInstance(int number);
     void put(const std::string& key, const json& value) const;
-    httplib::Client front(int instance) const;
+    httplib::Client front(int instance, const std::string& key) const;
 
     arguments m_given;
     std::string m_record;
@@ -91,5 +92,6 @@
 verdict runTwoPartitions(deployment&, bool hasTrouble);
 verdict runWorkerCrashes(deployment&, bool hasTrouble);
 verdict runGangCheckpoint(deployment&, bool hasTrouble);
+verdict runSameId(deployment&, bool hasTrouble);
 
 }
--- a/review/standin-2/Cases.cpp
+++ b/review/standin-2/Cases.cpp
@@ -196,4 +196,25 @@
         "UNASKED, GANG: the members of a run are started with different checkpoints, and end alone");
 }
 
+/// Two tenants choose the same id for a job.
+verdict runSameId(deployment& loft, bool hasTrouble)
+{
+    const std::string first = "00000000000000e1";
+    const std::string second = hasTrouble ? first : "00000000000000e2";
+    const auto starts = [&loft](const std::string& spec) { return loft.lines({ "-> started", spec }).size(); };
+    const auto job = [](const std::string& id) { return jobOf("cpu=100 ms=500 for=" + id, stepOf(1, 500)); };
+    if (loft.submit(first, job("first"), 0, "/kit/", "key-1") != 200)
+        return verdict::NotRun;
+    pause(500);
+    const int accepted = loft.submit(second, job("second"), 1, "/kit/", "key-2");
+    std::string state;
+    await(8000, [&] {
+        state = loft.state(second, 1, "key-2");
+        return state == "completed";
+    });
+    loft.say("key-2: GET " + second + " -> " + state + "; starts of its job: " + std::to_string(starts("for=second")));
+    const bool isLost = accepted == 200 && state == "410";
+    return judge(loft, isLost, "LOST: a job was accepted with 200, nobody has cancelled it, and a GET for it is answered 410");
+}
+
 }
--- a/review/standin-2/Deployment.cpp
+++ b/review/standin-2/Deployment.cpp
@@ -188,12 +188,14 @@
         routes.push_back(route(queue.first, queue.second, name.c_str()));
         services.push_back(service(name.c_str()));
     }
-    const json tenant { { "name", "head-office" }, { "apiKeys", { "key-1" } }, { "weight", 1 },
-        { "maxCount", { { "cpu", 0 }, { "memMb", 0 }, { "gpu", 0 } } } };
+    auto tenants = json::array();
+    for (const std::string number : { "1", "2" })
+        tenants.push_back({ { "name", "tenant-" + number }, { "apiKeys", { "key-" + number } }, { "weight", 1 },
+            { "maxCount", { { "cpu", 0 }, { "memMb", 0 }, { "gpu", 0 } } } });
     put("config",
         { { "version", 1 }, { "routes", routes }, { "services", services },
             { "limits", json::object() },
-            { "tenants", { tenant } } });
+            { "tenants", tenants } });
     for (int worker = 0; worker < workers(); ++worker)
         startWorker(worker);
     pause(500);
@@ -244,32 +246,33 @@
     return reply && reply->status == 200 ? std::stoll(reply->body) : -1;
 }
 
-httplib::Client deployment::front(int instance) const
+httplib::Client deployment::front(int instance, const std::string& key) const
 {
     auto client = local(m_instances[static_cast<std::size_t>(instance)].front);
-    client.set_default_headers({ { "Host", "loft.example" }, { "Authorization", "Bearer key-1" } });
+    client.set_default_headers({ { "Host", "loft.example" }, { "Authorization", "Bearer " + key } });
     return client;
 }
 
-int deployment::submit(const std::string& id, const json& job, int instance, const std::string& queue) const
+int deployment::submit(
+    const std::string& id, const json& job, int instance, const std::string& queue, const std::string& key) const
 {
-    const auto reply = front(instance).Post(queue + id, job.dump(), "application/json");
+    const auto reply = front(instance, key).Post(queue + id, job.dump(), "application/json");
     const int status = reply ? reply->status : 0;
-    say("POST " + queue + id + ' ' + job.dump() + " -> " + std::to_string(status));
+    say(key + ": POST " + queue + id + ' ' + job.dump() + " -> " + std::to_string(status));
     return status;
 }
 
 int deployment::cancel(const std::string& id, int instance) const
 {
-    const auto reply = front(instance).Delete("/kit/" + id);
+    const auto reply = front(instance, "key-1").Delete("/kit/" + id);
     const int status = reply ? reply->status : 0;
     say("DELETE " + id + " -> " + std::to_string(status));
     return status;
 }
 
-std::string deployment::state(const std::string& id, int instance) const
+std::string deployment::state(const std::string& id, int instance, const std::string& key) const
 {
-    const auto reply = front(instance).Get("/kit/" + id);
+    const auto reply = front(instance, key).Get("/kit/" + id);
     auto text = reply ? std::to_string(reply->status) : std::string("none");
     if (reply && reply->status == 200)
         text = json::parse(reply->body).value("state", text);
--- a/review/standin-2/Main.cpp
+++ b/review/standin-2/Main.cpp
@@ -8,21 +8,29 @@
 
 int runCase(const arguments& given)
 {
-    const auto& name = given.at("case");
-    const bool hasTrouble = given.at("trouble") != "0";
-    if (name == "two-partitions") {
-        deployment loft(given, 3, { "kitting", "kitting", "kitting", "routing", "cutting", "routing", "routing", "routing" });
-        return static_cast<int>(loft.start() ? runTwoPartitions(loft, hasTrouble) : verdict::NotRun);
+    struct test_case {
+        int instances;
+        std::vector<std::string> services;
+        verdict (*run)(deployment&, bool);
+    };
+    const std::vector<std::string> eight(8, "kitting");
+    const std::map<std::string, test_case> cases {
+        { "two-partitions",
+            { 3, { "kitting", "kitting", "kitting", "routing", "cutting", "routing", "routing", "routing" }, runTwoPartitions } },
+        { "worker-crashes", { 3, eight, runWorkerCrashes } },
+        { "gang-checkpoint", { 2, eight, runGangCheckpoint } },
+        { "same-id", { 2, eight, runSameId } },
+    };
+    const auto& chosen = cases.at(given.at("case"));
+    // A port that was free may have been taken by another program.
+    constexpr int attempts = 3;
+    for (int attempt = 0; attempt < attempts; ++attempt) {
+        deployment loft(given, chosen.instances, chosen.services);
+        if (loft.start())
+            return static_cast<int>(chosen.run(loft, given.at("trouble") != "0"));
+        loft.say("the deployment doesn't start");
     }
-    if (name == "worker-crashes") {
-        deployment loft(given, 3, std::vector<std::string>(8, "kitting"));
-        return static_cast<int>(loft.start() ? runWorkerCrashes(loft, hasTrouble) : verdict::NotRun);
-    }
-    if (name == "gang-checkpoint") {
-        deployment loft(given, 2, std::vector<std::string>(8, "kitting"));
-        return static_cast<int>(loft.start() ? runGangCheckpoint(loft, hasTrouble) : verdict::NotRun);
-    }
-    return 2;
+    return static_cast<int>(verdict::NotRun);
 }
 
 }
--- a/review/standin-2/Worker.cpp
+++ b/review/standin-2/Worker.cpp
@@ -125,7 +125,7 @@
         const auto until = in.at("deadlineMs").get<std::int64_t>();
         const auto spec = in.at("spec").get<std::string>();
         const auto given = in.value("checkpoint", std::string());
-        const auto what = "start " + task + " run " + std::to_string(run) + " checkpoint=" + given;
+        const auto what = "start " + task + " run " + std::to_string(run) + " spec=\"" + spec + "\" checkpoint=" + given;
         if (until <= state.clock()) {
             state.record(what + " -> late");
             return answer(state, response, 409, { { "reason", "late" } });
