--- a/review/standin-2/Case.h
+++ b/review/standin-2/Case.h
@@ -41,6 +41,12 @@
     void setReachableFor(int worker, std::int64_t leastToken, std::int64_t mostToken) const;
     /// Highest fencing token that the worker has seen.
     std::int64_t tokenAt(int worker) const;
+    /// The worker's next start has no answer; it is kept, to be carried out later.
+    void setHoldsStart(int worker, bool holds) const;
+    /// The start that is kept, empty without one.
+    std::string heldStart(int worker) const;
+    /// Lets the worker carry out a start now.
+    void deliverStart(int worker, const std::string& order) const;
     void crashWorker(int worker);
     void startWorker(int worker);
 
@@ -92,6 +98,7 @@
 verdict runTwoPartitions(deployment&, bool hasTrouble);
 verdict runWorkerCrashes(deployment&, bool hasTrouble);
 verdict runGangCheckpoint(deployment&, bool hasTrouble);
+verdict runLateStart(deployment&, bool hasTrouble);
 verdict runSameId(deployment&, bool hasTrouble);
 
 }
--- a/review/standin-2/Cases.cpp
+++ b/review/standin-2/Cases.cpp
@@ -196,6 +196,52 @@
         "UNASKED, GANG: the members of a run are started with different checkpoints, and end alone");
 }
 
+/// A worker leaves a start unanswered; it crashes and is back under its id; then the start is carried out.
+verdict runLateStart(deployment& loft, bool hasTrouble)
+{
+    constexpr int taskMs = 9000;
+    constexpr int downMs = 1000;
+    constexpr int lateMs = 5000;
+    // The workers have been up for longer than an order may be late.
+    constexpr int upMs = 15000;
+    const std::string job = "00000000000000f1";
+    pause(upMs);
+    for (int worker = 0; hasTrouble && worker < loft.workers(); ++worker)
+        loft.setHoldsStart(worker, true);
+    const auto began = steadyMs();
+    if (loft.submit(job, jobOf("cpu=1000 ms=" + std::to_string(taskMs), stepOf(1, taskMs))) != 200)
+        return verdict::NotRun;
+    const auto starts = [&] { return loft.lines({ "start " + job, "-> started" }); };
+    if (hasTrouble) {
+        if (!await(3000, [&] { return !loft.lines({ "start " + job, "-> no answer" }).empty(); }))
+            return verdict::NotRun;
+        const int worker = workerOf(loft.lines({ "start " + job, "-> no answer" }).front());
+        for (int other = 0; other < loft.workers(); ++other)
+            loft.setHoldsStart(other, false);
+        const auto order = loft.heldStart(worker);
+        // The task is started on another worker meanwhile.
+        if (!await(4000, [&] { return !starts().empty(); }))
+            return verdict::NotRun;
+        loft.crashWorker(worker);
+        pause(downMs);
+        loft.startWorker(worker);
+        pause(static_cast<int>(began + lateMs - steadyMs()));
+        loft.deliverStart(worker, order);
+    }
+    await(15000, [&] { return loft.state(job) == "completed"; });
+    loft.say("the job is " + loft.state(job));
+    // Whether a run began while another one was under way.
+    bool isTwice = false;
+    const auto all = starts();
+    const auto ends = loft.lines({ ": end " + job });
+    for (std::size_t index = 1; index < all.size(); ++index) {
+        const bool hasEnded = std::any_of(ends.begin(), ends.end(),
+            [&](const auto& end) { return end < all[index] && workerOf(end) == workerOf(all[index - 1]); });
+        isTwice = isTwice || !hasEnded;
+    }
+    return judge(loft, isTwice, "TWICE: two runs of the task of " + job + " at the same time, on workers that are up");
+}
+
 /// Two tenants choose the same id for a job.
 verdict runSameId(deployment& loft, bool hasTrouble)
 {
--- a/review/standin-2/Deployment.cpp
+++ b/review/standin-2/Deployment.cpp
@@ -143,6 +143,25 @@
         "worker-" + number + ".log");
 }
 
+void deployment::setHoldsStart(int worker, bool holds) const
+{
+    local(m_workers[static_cast<std::size_t>(worker)].port)
+        .Post(std::string("/stand-in/hold-start?on=") + (holds ? "1" : "0"), "", "text/plain");
+}
+
+std::string deployment::heldStart(int worker) const
+{
+    const auto reply = local(m_workers[static_cast<std::size_t>(worker)].port).Get("/stand-in/held");
+    return reply ? reply->body : std::string();
+}
+
+void deployment::deliverStart(int worker, const std::string& order) const
+{
+    say("the start that had no answer is carried out by worker " + workerId(worker));
+    const httplib::Headers headers { { "X-Dragonflyloft-Expect-Instance", workerId(worker) } };
+    local(m_workers[static_cast<std::size_t>(worker)].port).Post("/api/run-start", headers, order, "application/json");
+}
+
 void deployment::crashWorker(int worker)
 {
     auto& crashed = m_workers[static_cast<std::size_t>(worker)];
--- a/review/standin-2/Main.cpp
+++ b/review/standin-2/Main.cpp
@@ -19,6 +19,7 @@
             { 3, { "kitting", "kitting", "kitting", "routing", "cutting", "routing", "routing", "routing" }, runTwoPartitions } },
         { "worker-crashes", { 3, eight, runWorkerCrashes } },
         { "gang-checkpoint", { 2, eight, runGangCheckpoint } },
+        { "late-start", { 3, eight, runLateStart } },
         { "same-id", { 2, eight, runSameId } },
     };
     const auto& chosen = cases.at(given.at("case"));
--- a/review/standin-2/Worker.cpp
+++ b/review/standin-2/Worker.cpp
@@ -45,6 +45,9 @@
         /// Instances with other tokens don't reach it.
         std::int64_t leastToken { 0 };
         std::int64_t mostToken { std::numeric_limits<std::int64_t>::max() };
+        /// The next start has no answer and isn't carried out yet.
+        bool holdsNextStart { false };
+        std::string heldStart;
 
         std::int64_t clock() const { return steadyMs() - bornSteady; }
         const std::string& id() const { return given.at("id"); }
@@ -126,6 +129,15 @@
         const auto spec = in.at("spec").get<std::string>();
         const auto given = in.value("checkpoint", std::string());
         const auto what = "start " + task + " run " + std::to_string(run) + " spec=\"" + spec + "\" checkpoint=" + given;
+        if (std::exchange(state.holdsNextStart, false)) {
+            constexpr int lostMs = 2500;
+            state.heldStart = request.body;
+            state.record(what + " -> no answer, not carried out yet");
+            guard.unlock();
+            std::this_thread::sleep_for(std::chrono::milliseconds(lostMs));
+            response.status = 503;
+            return;
+        }
         if (until <= state.clock()) {
             state.record(what + " -> late");
             return answer(state, response, 409, { { "reason", "late" } });
@@ -321,6 +333,15 @@
         state.mostToken = std::stoll(request.get_param_value("most"));
         response.status = 200;
     });
+    server.Post("/stand-in/hold-start", [&state](const httplib::Request& request, httplib::Response& response) {
+        const std::lock_guard guard(state.lock);
+        state.holdsNextStart = request.get_param_value("on") == "1";
+        response.status = 200;
+    });
+    server.Get("/stand-in/held", [&state](const httplib::Request&, httplib::Response& response) {
+        const std::lock_guard guard(state.lock);
+        response.set_content(state.heldStart, "text/plain");
+    });
     server.Get("/stand-in/token", [&state](const httplib::Request&, httplib::Response& response) {
         const std::lock_guard guard(state.lock);
         response.set_content(std::to_string(state.fence), "text/plain");
