--- a/Source/Core/Dispatch/Dispatcher.cpp
+++ b/Source/Core/Dispatch/Dispatcher.cpp
@@ -6,11 +6,6 @@
 
 namespace {
 
-    /// A worker is in the list of instances at the latest this long after it registered.
-    constexpr Common::millis registrationLag { 2000 };
-    /// The same by wall clocks, which may differ by some seconds between machines.
-    constexpr Common::millis registrationLagWall { 6000 };
-
     bool hasLowerId(const worker_state* left, const worker_state* right) { return left->entry.id < right->entry.id; }
 
 }
@@ -72,37 +67,6 @@
         found->second.isRegistered = false;
 }
 
-void dispatcher::setInstanceWorkers(const std::map<Common::worker_id, Common::pool_id>& instanceWorkers,
-    Common::instant began, Common::instant now, Common::wall_millis wall)
-{
-    for (const auto& [id, pool] : instanceWorkers) {
-        if (!m_areWorkersKnown)
-            expectWorker(id, pool, now);
-    }
-    m_areWorkersKnown = true;
-    for (auto& [id, worker] : m_workers) {
-        const bool isUnresponsive = worker.unansweredPolls > 0 || !worker.isRegistered;
-        const bool isOld = began > worker.firstSeenAt + registrationLag
-            || wall.value - worker.entry.incarnationStartedAt.value > registrationLagWall.count();
-        if (isUnresponsive && !instanceWorkers.contains(id) && isOld)
-            worker.leaseExpiryBound = std::min(worker.leaseExpiryBound, now);
-    }
-}
-
-worker_state& dispatcher::expectWorker(
-    const Common::worker_id& id, const Common::pool_id& pool, Common::instant now)
-{
-    const auto found = m_workers.find(id);
-    if (found != m_workers.end())
-        return found->second;
-    auto& worker = m_workers.emplace(id, worker_state({ .id = id, .pool = pool })).first->second;
-    worker.isRegistered = false;
-    worker.firstSeenAt = now;
-    worker.noteLease(now, m_options.lease.maxLease);
-    indexWorker(worker);
-    return worker;
-}
-
 bool dispatcher::isCordoned(const Common::worker_id& id) const
 {
     const auto found = m_workers.find(id);
@@ -202,25 +166,6 @@
     return m_rules.findQueue(job.record().queue);
 }
 
-bool dispatcher::isPoolReconciled(const Common::pool_id& pool, Common::instant now) const
-{
-    if (m_isLogComplete)
-        return true;
-    const auto& workers = workersOf(pool);
-    return areWorkersKnown(now)
-        && std::all_of(workers.begin(), workers.end(), [now](const auto* worker) { return isReconciled(*worker, now); });
-}
-
-bool dispatcher::areWorkersKnown(Common::instant now) const
-{
-    return m_areWorkersKnown || now >= m_takenOverAt + m_options.instanceListTimeout;
-}
-
-bool dispatcher::isReconciled(const worker_state& worker, Common::instant now)
-{
-    return worker.hasListedAllEnds || now >= worker.leaseExpiryBound;
-}
-
 bool dispatcher::isSchedulable(const worker_state& worker, Common::instant now) const
 {
     return worker.isRegistered && !worker.entry.isDraining && worker.hasReported && worker.knowsClock()
--- a/Source/Core/Dispatch/DispatcherPlacements.cpp
+++ b/Source/Core/Dispatch/DispatcherPlacements.cpp
@@ -182,25 +182,6 @@
     }
 }
 
-bool dispatcher::knowsAllPlacements(Common::instant now) const
-{
-    if (m_isLogComplete)
-        return true;
-    return areWorkersKnown(now) && std::all_of(m_workers.begin(), m_workers.end(), [now](const auto& entry) {
-        return isReconciled(entry.second, now);
-    });
-}
-
-bool dispatcher::areAllPlacementsLogged(Common::instant now) const
-{
-    const auto isLogged = [this](const auto& entry) {
-        return entry.second.isLogged || !entry.second.isSent || !m_jobs.contains(entry.first.job.value);
-    };
-    return knowsAllPlacements(now) && std::all_of(m_workers.begin(), m_workers.end(), [&isLogged](const auto& worker) {
-        return std::all_of(worker.second.runs.begin(), worker.second.runs.end(), isLogged);
-    });
-}
-
 dispatch_backlog dispatcher::backlog(Common::instant now) const
 {
     dispatch_backlog backlog { .startsWaiting = static_cast<int>(m_pendingStarts.size()) };
@@ -222,20 +203,4 @@
     return backlog;
 }
 
-void dispatcher::inherit(open_job& job, const Jobs::task_progress& known, Common::instant now)
-{
-    const Jobs::task_name name { job.record().id, known.occurrence, known.step, known.index };
-    if (!job.find(name))
-        return;
-    const auto* queue = queueOf(job);
-    auto& worker = expectWorker(known.worker, queue ? queue->pool : Common::pool_id(), now);
-    const run_number run { known.run };
-    const bool isListed = worker.runs.contains(name);
-    if (worker.hasListedAllEnds && !isListed)
-        return;
-    if (!isListed)
-        addRun(worker, name, runOf(job, name, run, run_phase::Inherited, now)).isLogged = true;
-    job.place(name, { .worker = worker.entry.id, .startedAt = known.incarnation }, run);
-}
-
 }
--- /dev/null
+++ b/Source/Core/Dispatch/DispatcherTakeover.cpp
@@ -0,0 +1,102 @@
+#include "Dispatch/Dispatcher.h"
+
+#include <algorithm>
+
+/// Finds out what earlier leaders' orders may still be running. Until then, the tasks that they may have started wait.
+namespace Dispatch {
+
+namespace {
+
+    /// A worker is in the list of instances at the latest this long after it registered.
+    constexpr Common::millis registrationLag { 2000 };
+    /// The same by wall clocks, which may differ by some seconds between machines.
+    constexpr Common::millis registrationLagWall { 6000 };
+
+}
+
+void dispatcher::setInstanceWorkers(const std::map<Common::worker_id, Common::pool_id>& instanceWorkers,
+    Common::instant began, Common::instant now, Common::wall_millis wall)
+{
+    for (const auto& [id, pool] : instanceWorkers) {
+        if (!m_areWorkersKnown)
+            expectWorker(id, pool, now);
+    }
+    m_areWorkersKnown = true;
+    for (auto& [id, worker] : m_workers) {
+        const bool isUnresponsive = worker.unansweredPolls > 0 || !worker.isRegistered;
+        const bool isOld = began > worker.firstSeenAt + registrationLag
+            || wall.value - worker.entry.incarnationStartedAt.value > registrationLagWall.count();
+        if (isUnresponsive && !instanceWorkers.contains(id) && isOld)
+            worker.leaseExpiryBound = std::min(worker.leaseExpiryBound, now);
+    }
+}
+
+worker_state& dispatcher::expectWorker(
+    const Common::worker_id& id, const Common::pool_id& pool, Common::instant now)
+{
+    const auto found = m_workers.find(id);
+    if (found != m_workers.end())
+        return found->second;
+    auto& worker = m_workers.emplace(id, worker_state({ .id = id, .pool = pool })).first->second;
+    worker.isRegistered = false;
+    worker.firstSeenAt = now;
+    worker.noteLease(now, m_options.lease.maxLease);
+    indexWorker(worker);
+    return worker;
+}
+
+void dispatcher::inherit(open_job& job, const Jobs::task_progress& known, Common::instant now)
+{
+    const Jobs::task_name name { job.record().id, known.occurrence, known.step, known.index };
+    if (!job.find(name))
+        return;
+    const auto* queue = queueOf(job);
+    auto& worker = expectWorker(known.worker, queue ? queue->pool : Common::pool_id(), now);
+    const run_number run { known.run };
+    const bool isListed = worker.runs.contains(name);
+    if (worker.hasListedAllEnds && !isListed)
+        return;
+    if (!isListed)
+        addRun(worker, name, runOf(job, name, run, run_phase::Inherited, now)).isLogged = true;
+    job.place(name, { .worker = worker.entry.id, .startedAt = known.incarnation }, run);
+}
+
+bool dispatcher::areWorkersKnown(Common::instant now) const
+{
+    return m_areWorkersKnown || now >= m_takenOverAt + m_options.instanceListTimeout;
+}
+
+bool dispatcher::isReconciled(const worker_state& worker, Common::instant now)
+{
+    return worker.hasListedAllEnds || now >= worker.leaseExpiryBound;
+}
+
+bool dispatcher::isPoolReconciled(const Common::pool_id& pool, Common::instant now) const
+{
+    if (m_isLogComplete)
+        return true;
+    const auto& workers = workersOf(pool);
+    return areWorkersKnown(now)
+        && std::all_of(workers.begin(), workers.end(), [now](const auto* worker) { return isReconciled(*worker, now); });
+}
+
+bool dispatcher::knowsAllPlacements(Common::instant now) const
+{
+    if (m_isLogComplete)
+        return true;
+    return areWorkersKnown(now) && std::all_of(m_workers.begin(), m_workers.end(), [now](const auto& entry) {
+        return isReconciled(entry.second, now);
+    });
+}
+
+bool dispatcher::areAllPlacementsLogged(Common::instant now) const
+{
+    const auto isLogged = [this](const auto& entry) {
+        return entry.second.isLogged || !entry.second.isSent || !m_jobs.contains(entry.first.job.value);
+    };
+    return knowsAllPlacements(now) && std::all_of(m_workers.begin(), m_workers.end(), [&isLogged](const auto& worker) {
+        return std::all_of(worker.second.runs.begin(), worker.second.runs.end(), isLogged);
+    });
+}
+
+}
