Logs when a worker counts as reconciled, and starts that the log lacks

A task that runs twice after a takeover couldn't be traced: no line said since when, and why, a leader took for granted that nothing unknown runs on a worker, or that it sent a start without the log, or whether another leader may have led by then. worker_reconciled, worker_unreconciled and sent_without_log do, with disputed_ms: the time since another leader may have taken over.

--- a/Source/Core/Common/Logging.cpp
+++ b/Source/Core/Common/Logging.cpp
@@ -187,19 +187,23 @@
 
 void writeLog(log_level level, log_category category, std::string_view message)
 {
-    writeEvent(level, category, message, {});
+    writeEvent(level, category, message, std::span<const log_field>());
 }
 
 void writeEvent(
     log_level level, log_category category, std::string_view event, std::initializer_list<log_field> fields)
+{
+    writeEvent(level, category, event, std::span<const log_field>(fields.begin(), fields.size()));
+}
+
+void writeEvent(log_level level, log_category category, std::string_view event, std::span<const log_field> fields)
 {
     const auto& logger = loggerOf(category);
     if (!logger->isEnabledFor(toLevel(level)))
         return;
     thread_local log4cxx::helpers::Pool pool;
-    logger->callAppenders(std::make_shared<fields_event>(logger->getName(), toLevel(level), std::string(event),
-                              std::span<const log_field>(fields.begin(), fields.size())),
-        pool);
+    logger->callAppenders(
+        std::make_shared<fields_event>(logger->getName(), toLevel(level), std::string(event), fields), pool);
 }
 
 }
--- a/Source/Core/Common/Logging.h
+++ b/Source/Core/Common/Logging.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <initializer_list>
+#include <span>
 #include <string>
 #include <string_view>
 
@@ -51,5 +52,6 @@
 
 /// Writes one line about an event, with named fields.
 void writeEvent(log_level, log_category, std::string_view event, std::initializer_list<log_field>);
+void writeEvent(log_level, log_category, std::string_view event, std::span<const log_field>);
 
 }
--- a/Source/Core/ControlPlane/DispatchLog.cpp
+++ b/Source/Core/ControlPlane/DispatchLog.cpp
@@ -2,6 +2,8 @@
 
 #include "Common/Logging.h"
 
+#include <vector>
+
 namespace ControlPlane {
 
 namespace {
@@ -76,6 +78,11 @@
         return "evicted";
     }
 
+    const char* toText(Dispatch::reconciliation_reason reason)
+    {
+        return reason == Dispatch::reconciliation_reason::EndsListed ? "ends_listed" : "leases_expired";
+    }
+
     std::string taskText(const Jobs::task_name& task)
     {
         return std::to_string(task.occurrence) + '.' + std::to_string(task.step) + '.' + std::to_string(task.index);
@@ -113,6 +120,12 @@
         return "worker_lapsed";
     case WorkerRestarted:
         return "worker_reborn";
+    case WorkerReconciled:
+        return "worker_reconciled";
+    case WorkerUnreconciled:
+        return "worker_unreconciled";
+    case SentWithoutLog:
+        return "sent_without_log";
     case RunUndetermined:
         return "run_undetermined";
     case CrashNoted:
@@ -145,20 +158,18 @@
         detail = toText(*event.end);
     else if (event.stop)
         detail = toText(*event.stop);
+    else if (event.reconciliation)
+        detail = toText(*event.reconciliation);
     else if (event.state)
         detail = std::to_string(static_cast<int>(*event.state));
     const auto level = isWarning ? Common::log_level::Warning : Common::log_level::Info;
-    const auto task = taskText(event.task);
-    const auto run = std::to_string(event.run.value);
-    if (event.answeredAfter) {
-        Common::writeEvent(level, Common::log_category::Dispatch, toText(event.kind),
-            { { "job", event.task.job.value }, { "task", task }, { "worker", event.worker.value }, { "run", run },
-                { "detail", detail }, { "answered_ms", std::to_string(event.answeredAfter->count()) } });
-        return;
-    }
-    Common::writeEvent(level, Common::log_category::Dispatch, toText(event.kind),
-        { { "job", event.task.job.value }, { "task", task }, { "worker", event.worker.value }, { "run", run },
-            { "detail", detail } });
+    std::vector<Common::log_field> fields { { "job", event.task.job.value }, { "task", taskText(event.task) },
+        { "worker", event.worker.value }, { "run", std::to_string(event.run.value) }, { "detail", detail } };
+    if (event.answeredAfter)
+        fields.push_back({ "answered_ms", std::to_string(event.answeredAfter->count()) });
+    if (event.disputedFor)
+        fields.push_back({ "disputed_ms", std::to_string(event.disputedFor->count()) });
+    Common::writeEvent(level, Common::log_category::Dispatch, toText(event.kind), fields);
 }
 
 }
--- a/Source/Core/Dispatch/Dispatcher.cpp
+++ b/Source/Core/Dispatch/Dispatcher.cpp
@@ -181,6 +181,7 @@
     m_lastPlan = {};
     m_observer.onPlanPart(plan_part::Upkeep);
     updateCurrentLease(now, status);
+    noteReconciliations(now);
     expireLeases(now, status);
     releaseUnsent(now);
     releaseOverCapacity(now);
--- a/Source/Core/Dispatch/Dispatcher.h
+++ b/Source/Core/Dispatch/Dispatcher.h
@@ -58,6 +58,12 @@
     WorkerUnresponsive,
     WorkerLeaseExpired,
     WorkerRestarted,
+    /// Nothing that an earlier leader ordered can still run on the worker unnoticed.
+    WorkerReconciled,
+    /// It may again.
+    WorkerUnreconciled,
+    /// A start was sent although the log doesn't have its placement.
+    SentWithoutLog,
     /// Its worker has restarted, and only the worker's next list shows whether the run was lost.
     RunUndetermined,
     /// A run was lost when its worker crashed.
@@ -88,6 +94,12 @@
     Evicted
 };
 
+/// Why nothing that an earlier leader ordered can still run on a worker unnoticed.
+enum class reconciliation_reason {
+    EndsListed,
+    LeasesExpired
+};
+
 /// A decision of the dispatcher or a change that it noticed, for logs and counters.
 struct dispatch_event {
     dispatch_event_kind kind;
@@ -98,6 +110,9 @@
     std::optional<end_kind> end;
     std::optional<Jobs::job_state> state;
     std::optional<stop_reason> stop;
+    std::optional<reconciliation_reason> reconciliation;
+    /// Time since another leader may have taken over; empty while none can have.
+    std::optional<Common::millis> disputedFor;
     /// Time from the sending of a start to its answer.
     std::optional<Common::millis> answeredAfter;
 };
@@ -265,6 +280,9 @@
     bool isPoolReconciled(const Common::pool_id&, Common::instant now) const;
     /// The same of one worker.
     static bool isReconciled(const worker_state&, Common::instant now);
+    void noteReconciliations(Common::instant now);
+    /// Empty while no other leader can have taken over.
+    std::optional<Common::millis> disputedFor(Common::instant now) const;
     /// Whether all workers to which an earlier leader may have sent orders are known.
     bool areWorkersKnown(Common::instant now) const;
     /// Whether the worker may get new work.
--- a/Source/Core/Dispatch/DispatcherPlacements.cpp
+++ b/Source/Core/Dispatch/DispatcherPlacements.cpp
@@ -121,6 +121,12 @@
     auto& run = *findPlanned(planned);
     auto& job = *findJob(planned.task.job);
     auto& worker = m_workers.at(planned.worker);
+    if (!run.isLogged)
+        observe({ .kind = dispatch_event_kind::SentWithoutLog,
+            .task = planned.task,
+            .worker = planned.worker,
+            .run = planned.run,
+            .disputedFor = disputedFor(now) });
     worker.setPhase(run, run_phase::Starting);
     run.isSent = true;
     run.startedAt = now;
--- a/Source/Core/Dispatch/DispatcherTakeover.cpp
+++ b/Source/Core/Dispatch/DispatcherTakeover.cpp
@@ -1,6 +1,7 @@
 #include "Dispatch/Dispatcher.h"
 
 #include <algorithm>
+#include <utility>
 
 /// Finds out what earlier leaders' orders may still be running. Until then, the tasks that they may have started wait.
 namespace Dispatch {
@@ -71,6 +72,30 @@
     return worker.hasListedAllEnds || now >= worker.leaseExpiryBound;
 }
 
+std::optional<Common::millis> dispatcher::disputedFor(Common::instant now) const
+{
+    return m_isConfirmed ? std::nullopt : std::optional(Common::elapsed(m_confirmedUntil, now));
+}
+
+void dispatcher::noteReconciliations(Common::instant now)
+{
+    for (auto& [id, worker] : m_workers) {
+        const bool isNowReconciled = isReconciled(worker, now);
+        if (std::exchange(worker.isNotedAsReconciled, isNowReconciled) == isNowReconciled)
+            continue;
+        if (!isNowReconciled) {
+            observe({ .kind = dispatch_event_kind::WorkerUnreconciled, .worker = id, .disputedFor = disputedFor(now) });
+            continue;
+        }
+        const auto reason
+            = worker.hasListedAllEnds ? reconciliation_reason::EndsListed : reconciliation_reason::LeasesExpired;
+        observe({ .kind = dispatch_event_kind::WorkerReconciled,
+            .worker = id,
+            .reconciliation = reason,
+            .disputedFor = disputedFor(now) });
+    }
+}
+
 bool dispatcher::isPoolReconciled(const Common::pool_id& pool, Common::instant now) const
 {
     if (m_isLogComplete)
--- a/Source/Core/Dispatch/WorkerState.h
+++ b/Source/Core/Dispatch/WorkerState.h
@@ -87,6 +87,8 @@
     std::optional<Common::instant> failedAt;
     /// Nothing that this leader or an earlier one ordered there runs after this time.
     Common::instant leaseExpiryBound;
+    /// Whether it was last logged that nothing that an earlier leader ordered runs there unnoticed.
+    bool isNotedAsReconciled { false };
     /// Number of the last ended run that the worker reported, and of the last one whose end is in the log.
     end_number seenEnd;
     end_number storedEnd;
