A lease that expires while leadership isn't confirmed proves nothing

Cause: a new leader holds back what an earlier one may have started until each worker has answered or its longest lease has expired. It compared the expiry with the present time, also when its own leadership hadn't been confirmed for seconds. A later leader may have reached the worker by then, renewed the lease, and read, stored and acknowledged the end. Runs that the first leader had started without the log are in no record, so nothing else held them back, and the second leader started them again, without the log. The list of instances, and its time-out, were believed in the same way.

Change: conclusions from the passing of time and from the list of instances hold as of the last instant at which no other leader can have taken over (undisputedUntil). If the leadership is confirmed again, none did, and they hold. This removes the case rather than shortening it: while leadership is disputed, a worker is reconciled only by its own answer, which a worker that a later leader has reached refuses. The rule stands at the top of DispatcherTakeover.cpp. A worker whose address another one has taken keeps what it had listed: it needn't be reconciled again.

--- a/Source/Core/Dispatch/Dispatcher.h
+++ b/Source/Core/Dispatch/Dispatcher.h
@@ -279,7 +279,9 @@
     /// Whether nothing that an earlier leader started in the pool can still be running unnoticed.
     bool isPoolReconciled(const Common::pool_id&, Common::instant now) const;
     /// The same of one worker.
-    static bool isReconciled(const worker_state&, Common::instant now);
+    bool isReconciled(const worker_state&, Common::instant now) const;
+    /// The last instant, `now` at the latest, at which no other leader can have taken over.
+    Common::instant undisputedUntil(Common::instant now) const;
     void noteReconciliations(Common::instant now);
     /// Empty while no other leader can have taken over.
     std::optional<Common::millis> disputedFor(Common::instant now) const;
--- a/Source/Core/Dispatch/DispatcherIncarnations.cpp
+++ b/Source/Core/Dispatch/DispatcherIncarnations.cpp
@@ -47,11 +47,14 @@
         entry.incarnationStartedAt = *reply.incarnationStartedAt;
     // Kind and capacity are known once this incarnation has registered.
     entry.capacity = {};
+    const bool hadListedAllEnds = worker.hasListedAllEnds;
     discardIncarnation(worker, entry, now);
     worker.isRegistered = false;
-    // Nothing runs any more on a worker whose address another one has.
-    if (origin == reply_origin::OtherWorker)
+    // Nothing runs any more on a worker whose address another one has. What it had listed remains complete.
+    if (origin == reply_origin::OtherWorker) {
         worker.leaseExpiryBound = std::min(worker.leaseExpiryBound, now);
+        worker.hasListedAllEnds = hadListedAllEnds;
+    }
     worker.nextPollAt = now + restartPollDelay;
 }
 
--- a/Source/Core/Dispatch/DispatcherTakeover.cpp
+++ b/Source/Core/Dispatch/DispatcherTakeover.cpp
@@ -3,7 +3,12 @@
 #include <algorithm>
 #include <utility>
 
-/// Finds out what earlier leaders' orders may still be running. Until then, the tasks that they may have started wait.
+/// Finds out what earlier leaders' orders may still be running. Until then, the tasks that they may have started wait. Nothing
+/// that an earlier leader ordered runs unnoticed on a worker
+/// - once the worker has listed all its ends under this leader's token, or
+/// - once all leases that an earlier leader may have granted there have expired, or the list of instances shows that the worker
+///   has ended. This holds as of the last instant at which no other leader can have taken over. After it, a later leader may
+///   have renewed the leases, and have read, stored and acknowledged the ends.
 namespace Dispatch {
 
 namespace {
@@ -62,14 +67,16 @@
     job.place(name, { .worker = worker.entry.id, .startedAt = known.incarnation }, run);
 }
 
+Common::instant dispatcher::undisputedUntil(Common::instant now) const { return std::min(now, m_confirmedUntil); }
+
 bool dispatcher::areWorkersKnown(Common::instant now) const
 {
-    return m_areWorkersKnown || now >= m_takenOverAt + m_options.instanceListTimeout;
+    return m_areWorkersKnown || undisputedUntil(now) >= m_takenOverAt + m_options.instanceListTimeout;
 }
 
-bool dispatcher::isReconciled(const worker_state& worker, Common::instant now)
+bool dispatcher::isReconciled(const worker_state& worker, Common::instant now) const
 {
-    return worker.hasListedAllEnds || now >= worker.leaseExpiryBound;
+    return worker.hasListedAllEnds || undisputedUntil(now) >= worker.leaseExpiryBound;
 }
 
 std::optional<Common::millis> dispatcher::disputedFor(Common::instant now) const
@@ -102,14 +109,14 @@
         return true;
     const auto& workers = workersOf(pool);
     return areWorkersKnown(now)
-        && std::all_of(workers.begin(), workers.end(), [now](const auto* worker) { return isReconciled(*worker, now); });
+        && std::all_of(workers.begin(), workers.end(), [this, now](const auto* worker) { return isReconciled(*worker, now); });
 }
 
 bool dispatcher::knowsAllPlacements(Common::instant now) const
 {
     if (m_isLogComplete)
         return true;
-    return areWorkersKnown(now) && std::all_of(m_workers.begin(), m_workers.end(), [now](const auto& entry) {
+    return areWorkersKnown(now) && std::all_of(m_workers.begin(), m_workers.end(), [this, now](const auto& entry) {
         return isReconciled(entry.second, now);
     });
 }
--- a/Source/UnitTests/Core/Dispatch/PlacementLogTest.cpp
+++ b/Source/UnitTests/Core/Dispatch/PlacementLogTest.cpp
@@ -142,6 +142,48 @@
     CHECK(f.plan().starts.size() == 1);
 }
 
+/// Guards against review case 6: a leader that isn't confirmed starts a task whose end a later leader has noted.
+TEST_CASE("What an earlier leader may have started waits until its lease has expired under a confirmed leadership",
+    "[dispatch]")
+{
+    takeover_fixture f;
+    f.leaveUnanswered("w1");
+    f.now += std::chrono::seconds(5);
+    CHECK(f.plan().starts.empty());
+    // The store stops answering this leader. A later one may reach w1.
+    f.isConfirmed = false;
+    f.isStored = false;
+    f.status.isStoreUnresponsive = true;
+
+    SECTION("not if the lease expires afterwards")
+    {
+        f.now += std::chrono::seconds(6);
+        f.leaveUnanswered("w1");
+        CHECK(f.plan().starts.empty());
+        f.nextPoll("w1");
+    }
+    SECTION("not if the list of instances shows afterwards that the worker has ended")
+    {
+        f.now += std::chrono::seconds(2);
+        f.dispatcher.setInstanceWorkers({ { { "w2" }, { "pool" } } }, f.now, f.now, f.wall());
+        CHECK(f.plan().starts.empty());
+    }
+    REQUIRE_FALSE(f.dispatcher.knowsAllPlacements(f.now));
+    // No other leader has taken over meanwhile.
+    f.isConfirmed = true;
+    f.isStored = true;
+    f.status.isStoreUnresponsive = false;
+    auto starts = f.plan().starts;
+    REQUIRE(starts.size() == 1);
+    CHECK(starts[0].task.index == 1);
+    CHECK(f.dispatcher.knowsAllPlacements(f.now));
+    // The logged run isn't given up while its worker may still answer.
+    f.leaveUnanswered("w1");
+    starts = f.plan().starts;
+    REQUIRE(starts.size() == 1);
+    CHECK(starts[0].task.index == 0);
+}
+
 TEST_CASE("A new leader starts at once the jobs that no leader has started", "[dispatch]")
 {
     takeover_fixture f;
