--- a/Source/UnitTests/Core/Explorer/ClusterSimulation.cpp
+++ b/Source/UnitTests/Core/Explorer/ClusterSimulation.cpp
@@ -6,6 +6,10 @@
 
 constexpr Common::millis stepTime { 50 };
 constexpr Common::millis workTime { 700 };
+constexpr std::uint64_t minPartitionMillis = 2000;
+constexpr std::uint64_t maxPartitionMillis = 7000;
+/// Average number of steps between two crashes of workers while there are partitions.
+constexpr std::uint64_t crashOdds = 60;
 
 }
 
@@ -85,6 +89,48 @@
         m_store.put(intakePartition, record.key, record.value);
 }
 
+std::optional<std::vector<Capacity::instance_entry>> cluster_simulation::instances() const
+{
+    if (!m_options.hasPartitions)
+        return std::nullopt;
+    std::vector<Capacity::instance_entry> entries;
+    for (const auto& [id, worker] : m_workers)
+        entries.push_back({ .id = { "m" + id }, .pool = { "pool" }, .worker = { id } });
+    return entries;
+}
+
+void cluster_simulation::healPartition()
+{
+    m_disconnected.clear();
+    m_storeUnreachable.clear();
+}
+
+void cluster_simulation::advancePartitions()
+{
+    if (draw(crashOdds) == 0) {
+        const auto crashing = 'w' + std::to_string(draw(static_cast<std::uint64_t>(m_options.workers)));
+        noteLostRuns(crashing);
+        worker(crashing).crash();
+        publish(crashing);
+    }
+    if (m_timers.now() < m_nextPartitionAt)
+        return;
+    healPartition();
+    const Common::millis duration { static_cast<std::int64_t>(minPartitionMillis + draw(maxPartitionMillis - minPartitionMillis)) };
+    m_nextPartitionAt = m_timers.now() + duration;
+    const int leader = lastClaimer().value_or(0);
+    m_storeUnreachable.insert(leader);
+    for (const auto& [id, worker] : m_workers) {
+        const bool isWithLeader = draw(4) != 0;
+        for (int node = 0; node < m_options.nodes; ++node) {
+            if ((node == leader) != isWithLeader)
+                m_disconnected.insert({ node, id });
+        }
+    }
+    for (int node = 0; node < m_options.nodes; ++node)
+        noteDisruption(node, duration);
+}
+
 Common::millis cluster_simulation::clearFaultLater(std::uint64_t maxExtraMillis, std::function<void()> clearFault)
 {
     const Common::millis duration { static_cast<std::int64_t>(200 + draw(maxExtraMillis)) };
@@ -176,10 +222,14 @@
     while (m_timers.now() < faultsUntil && m_violation.empty()) {
         if (draw(8) == 0)
             submit();
-        if (m_options.stepsPerFault > 0 && draw(static_cast<std::uint64_t>(m_options.stepsPerFault)) == 0)
+        if (m_options.hasPartitions)
+            advancePartitions();
+        else if (m_options.stepsPerFault > 0 && draw(static_cast<std::uint64_t>(m_options.stepsPerFault)) == 0)
             injectFault();
         advanceOneStep();
     }
+    if (m_options.hasPartitions)
+        healPartition();
     // Lets the open faults end on their own.
     const auto faultsEndAt = m_timers.now() + Common::millis(10000);
     while (m_timers.now() < faultsEndAt && m_violation.empty())
--- a/Source/UnitTests/Core/Explorer/ClusterSimulation.h
+++ b/Source/UnitTests/Core/Explorer/ClusterSimulation.h
@@ -23,6 +23,9 @@
     Common::percent crashingJobs { 0 };
     /// Share of the jobs whose tasks last.
     Common::percent longRunningJobs { 0 };
+    /// In place of single faults, partitions that follow each other: the leader and some workers are apart from all others.
+    /// Some workers crash meanwhile. The leader is told which workers there are.
+    bool hasPartitions { false };
     /// The workers' capacity shrinks and grows, and they have no admission check.
     bool doesCapacityVary { false };
     /// A start may use no more than any report of capacity in this time before it was sent, and the newest one, allow.
@@ -71,6 +74,8 @@
     manual_timers& timers() { return m_timers; }
     fake_store& store() { return m_store; }
     const Rules::fleet_rules& rules() const { return m_rules; }
+    /// Instances and the workers on them; empty when nobody tells the leader.
+    std::optional<std::vector<Capacity::instance_entry>> instances() const;
     /// Workers that are registered, as the store has them.
     std::vector<Dispatch::worker_entry> workerEntries() const;
     order_sender senderOf(int node) const { return { node, m_timers.now(), isInTouch(node) }; }
@@ -85,6 +90,9 @@
 
     void advanceOneStep();
     void injectFault();
+    /// Ends the last partition and begins the next one when that is due.
+    void advancePartitions();
+    void healPartition();
     void submit();
     std::vector<Jobs::step_spec> drawSteps(bool isLongRunning);
     bool drawShare(Common::percent share) { return share.value > 0 && draw(100) < static_cast<std::uint64_t>(share.value); }
@@ -126,6 +134,7 @@
     std::map<std::string, Dispatch::worker_entry> m_registrations;
     std::map<std::string, std::vector<capacity_report>> m_capacityReports;
     std::map<int, Common::instant> m_disruptedUntil;
+    Common::instant m_nextPartitionAt;
     order_sender m_sender;
     /// Number of tasks of each job whose tasks last.
     std::map<Common::job_id, int> m_longRunningJobs;
--- a/Source/UnitTests/Core/Explorer/ClusterSimulationTest.cpp
+++ b/Source/UnitTests/Core/Explorer/ClusterSimulationTest.cpp
@@ -31,6 +31,21 @@
     WARN(handovers << " handovers");
 }
 
+/// Guards against review case 6: a leader goes on while it is apart from the store, and later leaders know other workers.
+TEST_CASE("While one leader after the other is cut off with some workers, no task runs twice", "[explorer]")
+{
+    const explorer_seeds seeds(defaultSeeds);
+    int takeovers = 0;
+    for (auto seed = seeds.first; seed < seeds.end(); ++seed) {
+        cluster_simulation simulation({ .seed = seed, .workers = 12, .hasPartitions = true });
+        INFO("LOFT_EXPLORER_FIRST=" << seed << " LOFT_EXPLORER_SEEDS=1");
+        CHECK(simulation.run() == std::string());
+        takeovers += simulation.takeovers();
+    }
+    CHECK(takeovers > static_cast<int>(seeds.count));
+    WARN(takeovers << " leadership claims");
+}
+
 TEST_CASE("Under random faults no task runs twice and each job completes", "[explorer]")
 {
     const explorer_seeds seeds(defaultSeeds);
--- a/Source/UnitTests/Core/Explorer/SimulatedNode.h
+++ b/Source/UnitTests/Core/Explorer/SimulatedNode.h
@@ -26,6 +26,7 @@
                        public Records::record_store,
                        public Records::timer_service,
                        public Dispatch::worker_gateway,
+                       public Capacity::instance_gateway,
                        public std::enable_shared_from_this<simulated_node> {
 public:
     simulated_node(cluster_simulation& simulation, int number, int incarnationNumber)
@@ -55,6 +56,7 @@
         m_leadership = std::make_unique<ControlPlane::leadership_manager>(ControlPlane::leadership_parts { .store = *this,
                                                                               .timers = *this,
                                                                               .workers = *this,
+                                                                              .instances = m_simulation.instances() ? this : nullptr,
                                                                               .operatorFormat = m_format,
                                                                               .jobRegistry = m_jobs,
                                                                               .progressFeed = m_progressFeed,
@@ -230,6 +232,24 @@
 
     void keepOnly(const std::vector<Common::worker_id>&) override { }
 
+    void list(Common::millis timeout,
+        std::function<void(std::optional<std::vector<Capacity::instance_entry>>)> handler) override
+    {
+        const bool isAnswered = !isStoreUnreachable();
+        after(isAnswered ? answerTime : timeout, [this, isAnswered, handler = std::move(handler)] {
+            handler(isAnswered ? m_simulation.instances() : std::nullopt);
+        });
+    }
+    void move(const Capacity::move_order&, Dispatch::fencing_token, Common::millis, outcome_handler handler) override
+    {
+        after(answerTime, [handler = std::move(handler)] { handler(Capacity::instance_outcome::Refused); });
+    }
+    void startMaintenance(
+        const Capacity::maintenance_order&, Dispatch::fencing_token, Common::millis, outcome_handler handler) override
+    {
+        after(answerTime, [handler = std::move(handler)] { handler(Capacity::instance_outcome::Refused); });
+    }
+
     cluster_simulation& m_simulation;
     int m_number;
     std::string m_member;
