Without a list of instances, unknown workers count until their leases have expired

What callers could see: two runs of a task at once, if a leader and a worker are cut off from the store for longer than the worker's registration lasts, and the next leader gets no list of instances.

Cause: after 3 s without the list the registered workers were taken for all there are.

Change: areWorkersKnown waits for a list or for that expiry, as of when no other leader can have taken over.

The new test failed before (4 of 11 assertions). The tests of handovers relied on the 3 s, since their leaders had no instance manager: now these are told of the one worker there is, as on the platform; what they check is unchanged. Price: a takeover without a list holds started jobs back for 9.9 s instead of 3 s.

--- a/Source/Core/Dispatch/Dispatcher.cpp
+++ b/Source/Core/Dispatch/Dispatcher.cpp
@@ -12,7 +12,7 @@
 
 dispatcher::dispatcher(const dispatcher_options& options, Common::instant now, dispatch_observer& observer)
     : m_options(options)
-    , m_takenOverAt(now)
+    , m_earlierLeasesEnd(latestLeaseEnd(now, options.lease.maxLease))
     , m_observer(observer)
     , m_currentLease(options.lease.lease)
 {
--- a/Source/Core/Dispatch/Dispatcher.h
+++ b/Source/Core/Dispatch/Dispatcher.h
@@ -18,8 +18,6 @@
     run_number runBase;
     lease_options lease;
     worker_bounds bounds;
-    /// If no list of instances arrives in this time, the registered workers are taken to be all there are.
-    Common::millis instanceListTimeout { 3000 };
 };
 
 struct dispatch_orders {
@@ -432,7 +430,8 @@
     void observe(const dispatch_event&);
 
     dispatcher_options m_options;
-    Common::instant m_takenOverAt;
+    /// By then all leases that earlier leaders granted have expired.
+    Common::instant m_earlierLeasesEnd;
     dispatch_observer& m_observer;
     Rules::fleet_rules m_rules;
     std::set<Common::data_centre_id> m_evacuated;
--- a/Source/Core/Dispatch/DispatcherTakeover.cpp
+++ b/Source/Core/Dispatch/DispatcherTakeover.cpp
@@ -9,6 +9,8 @@
 /// - once all leases that an earlier leader may have granted there have expired, or the list of instances shows that the worker
 ///   has ended. This holds as of the last instant at which no other leader can have taken over. After it, a later leader may
 ///   have renewed the leases, and have read, stored and acknowledged the ends.
+/// Workers that aren't registered may run tasks too. They are known once a list of instances was read after the takeover; without
+/// one, until all leases of earlier leaders have expired.
 namespace Dispatch {
 
 namespace {
@@ -71,7 +73,7 @@
 
 bool dispatcher::areWorkersKnown(Common::instant now) const
 {
-    return m_areWorkersKnown || undisputedUntil(now) >= m_takenOverAt + m_options.instanceListTimeout;
+    return m_areWorkersKnown || undisputedUntil(now) >= m_earlierLeasesEnd;
 }
 
 bool dispatcher::isReconciled(const worker_state& worker, Common::instant now) const
--- a/Source/Core/Dispatch/WorkerState.cpp
+++ b/Source/Core/Dispatch/WorkerState.cpp
@@ -38,11 +38,15 @@
     return { m_clock->clock.value + Common::elapsed(m_clock->at, now).count() };
 }
 
-void worker_state::noteLease(Common::instant now, Common::millis lease)
+Common::instant latestLeaseEnd(Common::instant grantedAt, Common::millis lease)
 {
     const auto slow = std::chrono::duration<double, std::milli>(static_cast<double>(lease.count()) * maxClockSlowness);
-    leaseExpiryBound = std::max(
-        leaseExpiryBound, now + std::chrono::duration_cast<Common::boot_clock::duration>(slow) + expirySlack);
+    return grantedAt + std::chrono::duration_cast<Common::boot_clock::duration>(slow) + expirySlack;
+}
+
+void worker_state::noteLease(Common::instant now, Common::millis lease)
+{
+    leaseExpiryBound = std::max(leaseExpiryBound, latestLeaseEnd(now, lease));
 }
 
 Common::millis worker_state::clockLag(Common::instant now) const
--- a/Source/Core/Dispatch/WorkerState.h
+++ b/Source/Core/Dispatch/WorkerState.h
@@ -59,6 +59,9 @@
     Common::instant until;
 };
 
+/// By then everything that the lease covers has ended, however slow the worker's clock is.
+Common::instant latestLeaseEnd(Common::instant grantedAt, Common::millis lease);
+
 /// What the leader knows about one incarnation of a worker.
 class worker_state {
 public:
--- a/Source/UnitTests/Core/ControlPlane/LeadershipFixture.h
+++ b/Source/UnitTests/Core/ControlPlane/LeadershipFixture.h
@@ -73,7 +73,8 @@
     std::vector<Dispatch::listed_end> ended;
 };
 
-/// Instances in the spare pool. Moves take a while and get no answer, so that they are ordered again and again.
+/// Instances in the spare pool, unless a test lists others. Moves take a while and get no answer, so that they are ordered again and
+/// again.
 struct unanswering_manager : Capacity::instance_gateway {
     explicit unanswering_manager(manual_timers& owner)
         : timers(owner)
@@ -83,12 +84,16 @@
     void list(Common::millis,
         std::function<void(std::optional<std::vector<Capacity::instance_entry>>)> handler) override
     {
-        std::vector<Capacity::instance_entry> entries;
+        timers.after(Common::millis(2), [handler, listed = entries] { handler(listed); });
+    }
+    static std::vector<Capacity::instance_entry> spareInstances()
+    {
+        std::vector<Capacity::instance_entry> spare;
         for (const auto* id : { "i", "j", "k" })
-            entries.push_back({ .id = { id },
+            spare.push_back({ .id = { id },
                 .pool = { "spare" },
                 .capacity = { .processor = { 8000 }, .memory = { 1000 } } });
-        timers.after(Common::millis(2), [handler, entries] { handler(entries); });
+        return spare;
     }
     void move(
         const Capacity::move_order&, Dispatch::fencing_token, Common::millis timeout, outcome_handler handler) override
@@ -103,6 +108,7 @@
         const Capacity::maintenance_order&, Dispatch::fencing_token, Common::millis, outcome_handler) override { }
 
     manual_timers& timers;
+    std::vector<Capacity::instance_entry> entries { spareInstances() };
     int openMoves { 0 };
 };
 
--- a/Source/UnitTests/Core/ControlPlane/LeadershipHandoverTest.cpp
+++ b/Source/UnitTests/Core/ControlPlane/LeadershipHandoverTest.cpp
@@ -15,6 +15,12 @@
 struct handover_fixture : leadership_fixture {
     handover_fixture()
     {
+        // Leaders are told that the registered worker is the only one.
+        hasInstanceManager = true;
+        manager.entries = { { .id = { "i" },
+            .pool = { "pool" },
+            .capacity = worker().capacity,
+            .worker = worker().id } };
         small = add("small", smallCapacity);
         timers.advance(Common::millis(3000));
         REQUIRE(claimers() == member_list { "small" });
@@ -235,7 +241,7 @@
 TEST_CASE("A leader with unanswered orders to the instance manager waits for them and releases leadership", "[station]")
 {
     handover_fixture s;
-    s.hasInstanceManager = true;
+    s.manager.entries = unanswering_manager::spareInstances();
     s.small->kill();
     const auto next = s.add("next", smallCapacity);
     s.timers.advance(Common::millis(2500));
--- a/Source/UnitTests/Core/Dispatch/DispatcherFixture.h
+++ b/Source/UnitTests/Core/Dispatch/DispatcherFixture.h
@@ -8,7 +8,7 @@
 struct dispatcher_fixture : Dispatch::dispatch_observer {
     static constexpr Common::millis stepTime { 10 };
 
-    explicit dispatcher_fixture(std::int64_t token = 7, std::int64_t runBase = 0)
+    explicit dispatcher_fixture(std::int64_t token = 7, std::int64_t runBase = 0, bool hasInstanceList = true)
         : dispatcher({ .token = { token }, .runBase = { runBase } }, now, *this)
     {
         rules.version = 1;
@@ -16,7 +16,8 @@
         rules.queues = { { .id = { "queue" }, .host = "h", .pathPrefix = "/q/", .pool = { "pool" }, .maxAttempts = 2 } };
         rules.teams = { { .id = { "team" }, .keys = { "key" } } };
         dispatcher.setRules(rules);
-        dispatcher.setInstanceWorkers({}, now, now, wall());
+        if (hasInstanceList)
+            dispatcher.setInstanceWorkers({}, now, now, wall());
     }
 
     void observe(const Dispatch::dispatch_event& event) override { events.push_back(event); }
--- a/Source/UnitTests/Core/Dispatch/PlacementLogTest.cpp
+++ b/Source/UnitTests/Core/Dispatch/PlacementLogTest.cpp
@@ -184,6 +184,40 @@
     CHECK(starts[0].task.index == 0);
 }
 
+/// Guards against two runs at once: a worker that no registration names runs on under an earlier leader.
+TEST_CASE("Without a list of instances, an unknown worker may run tasks until the longest lease has expired", "[dispatch]")
+{
+    dispatcher_fixture f(20, 1000, false);
+    f.dispatcher.workerRegistered(f.worker("w2"), f.now, f.now);
+    // An earlier leader may have started the second task without the log.
+    f.add(f.job("j", { f.step(2) }),
+        { .state = job_state::Running, .tasks = { { .occurrence = 0, .step = 0, .index = 0, .isDone = true } } });
+    f.answerPoll(f.nextPoll("w2").value());
+    CHECK(f.plan().starts.empty());
+    f.now += std::chrono::seconds(5);
+    CHECK(f.plan().starts.empty());
+
+    SECTION("then it may run nothing any more")
+    {
+        f.now += std::chrono::seconds(4);
+        CHECK(f.plan().starts.empty());
+        f.now += std::chrono::seconds(1);
+        CHECK(f.plan().starts.size() == 1);
+    }
+    SECTION("a list shows that there is none")
+    {
+        f.dispatcher.setInstanceWorkers({ { { "w2" }, { "pool" } } }, f.now, f.now, f.wall());
+        CHECK(f.plan().starts.size() == 1);
+    }
+    SECTION("a list shows one that may run it")
+    {
+        f.dispatcher.setInstanceWorkers({ { { "w1" }, { "pool" } }, { { "w2" }, { "pool" } } }, f.now, f.now, f.wall());
+        f.now += std::chrono::seconds(4);
+        CHECK(f.plan().starts.empty());
+        CHECK_FALSE(f.dispatcher.knowsAllPlacements(f.now));
+    }
+}
+
 TEST_CASE("A new leader starts at once the jobs that no leader has started", "[dispatch]")
 {
     takeover_fixture f;
