While leadership is disputed, an incarnation that began since proves nothing and gets no starts

What callers could see: a finished task runs again (TWICE), if a worker restarts, or a new one joins, while a leader is cut off from the store and a later one leads.

Cause: a worker's answer under the leader's own token shows that no later leader has reached that incarnation: it would refuse. It was taken to show that of the worker. An incarnation that began since has forgotten the token, the runs and the ends.

Change: while another leader may have taken over, only incarnations count that were known before (predatesDispute), for what has been listed as well as for starts. If the leadership is confirmed again, none took over, and they count.

--- a/Source/Core/Dispatch/Dispatcher.cpp
+++ b/Source/Core/Dispatch/Dispatcher.cpp
@@ -35,6 +35,7 @@
     if (found == m_workers.end()) {
         auto& worker = m_workers.emplace(entry.id, worker_state(entry)).first->second;
         worker.firstSeenAt = seenAt;
+        worker.incarnationKnownSince = now;
         // An earlier leader may have renewed leases there until now.
         worker.noteLease(now, m_options.lease.maxLease);
         indexWorker(worker);
@@ -53,6 +54,8 @@
     if (!isUnregistered && entry.incarnationStartedAt < worker.entry.incarnationStartedAt)
         return;
     worker.isRegistered = true;
+    if (isUnregistered)
+        worker.incarnationKnownSince = now;
     if (isUnregistered || worker.entry.incarnationStartedAt == entry.incarnationStartedAt) {
         worker.updateEntry(entry);
         return;
@@ -169,7 +172,7 @@
 bool dispatcher::isSchedulable(const worker_state& worker, Common::instant now) const
 {
     return worker.isRegistered && !worker.entry.isDraining && worker.hasReported && worker.knowsClock()
-        && !worker.isCordoned && !worker.failedAt && !worker.hasRunsOfUnknownSize() && now >= worker.suspectedUntil
+        && predatesDispute(worker) && !worker.isCordoned && !worker.failedAt && !worker.hasRunsOfUnknownSize() && now >= worker.suspectedUntil
         && !m_evacuated.contains(worker.entry.dataCentre);
 }
 
--- a/Source/Core/Dispatch/Dispatcher.h
+++ b/Source/Core/Dispatch/Dispatcher.h
@@ -280,6 +280,8 @@
     bool isReconciled(const worker_state&, Common::instant now) const;
     /// The last instant, `now` at the latest, at which no other leader can have taken over.
     Common::instant undisputedUntil(Common::instant now) const;
+    /// Whether the worker's incarnation was known when no other leader can have taken over.
+    bool predatesDispute(const worker_state&) const;
     void noteReconciliations(Common::instant now);
     /// Empty while no other leader can have taken over.
     std::optional<Common::millis> disputedFor(Common::instant now) const;
--- a/Source/Core/Dispatch/DispatcherIncarnations.cpp
+++ b/Source/Core/Dispatch/DispatcherIncarnations.cpp
@@ -126,8 +126,10 @@
     const auto openLoss = takeOpenLoss(loss, unlisted);
     loseAllRuns(worker, now);
     worker.beginIncarnation(entry);
-    if (isNextIncarnation)
+    if (isNextIncarnation) {
+        worker.incarnationKnownSince = now;
         worker.noteLease(now, m_options.bounds.longestLease);
+    }
     carryOver(worker, unlisted);
     m_uncommittedEnds.erase(entry.id);
     m_acknowledgedEnds[entry.id] = {};
--- a/Source/Core/Dispatch/DispatcherTakeover.cpp
+++ b/Source/Core/Dispatch/DispatcherTakeover.cpp
@@ -11,6 +11,9 @@
 ///   have renewed the leases, and have read, stored and acknowledged the ends.
 /// Workers that aren't registered may run tasks too. They are known once a list of instances was read after the takeover; without
 /// one, until all leases of earlier leaders have expired.
+/// While another leader may have taken over, only incarnations count that were known before: they would refuse this leader's
+/// orders if a later one had reached them. One that began since has forgotten that, and what its worker ran and listed before.
+/// It vouches for nothing and gets no starts, since the later leader may not know that it has to wait for it.
 namespace Dispatch {
 
 namespace {
@@ -48,6 +51,7 @@
     auto& worker = m_workers.emplace(id, worker_state({ .id = id, .pool = pool })).first->second;
     worker.isRegistered = false;
     worker.firstSeenAt = now;
+    worker.incarnationKnownSince = now;
     worker.noteLease(now, m_options.lease.maxLease);
     indexWorker(worker);
     return worker;
@@ -71,6 +75,11 @@
 
 Common::instant dispatcher::undisputedUntil(Common::instant now) const { return std::min(now, m_confirmedUntil); }
 
+bool dispatcher::predatesDispute(const worker_state& worker) const
+{
+    return worker.incarnationKnownSince <= m_confirmedUntil;
+}
+
 bool dispatcher::areWorkersKnown(Common::instant now) const
 {
     return m_areWorkersKnown || undisputedUntil(now) >= m_earlierLeasesEnd;
@@ -78,7 +87,7 @@
 
 bool dispatcher::isReconciled(const worker_state& worker, Common::instant now) const
 {
-    return worker.hasListedAllEnds || undisputedUntil(now) >= worker.leaseExpiryBound;
+    return (worker.hasListedAllEnds && predatesDispute(worker)) || undisputedUntil(now) >= worker.leaseExpiryBound;
 }
 
 std::optional<Common::millis> dispatcher::disputedFor(Common::instant now) const
--- a/Source/Core/Dispatch/WorkerState.h
+++ b/Source/Core/Dispatch/WorkerState.h
@@ -82,6 +82,7 @@
     bool isEndPlanned { false };
     bool isPollInFlight { false };
     Common::instant firstSeenAt;
+    Common::instant incarnationKnownSince;
     Common::instant nextPollAt;
     /// When the last answer to a poll arrived.
     Common::instant reportedAt;
--- a/Source/UnitTests/Core/Dispatch/PlacementLogTest.cpp
+++ b/Source/UnitTests/Core/Dispatch/PlacementLogTest.cpp
@@ -218,6 +218,68 @@
     }
 }
 
+/// Guards against a task that runs twice: a restarted worker has forgotten its runs, and the fencing token of a later leader.
+TEST_CASE("While another leader may have taken over, an incarnation that began since vouches for nothing and gets no starts",
+    "[dispatch]")
+{
+    const auto dispute = [](dispatcher_fixture& f) {
+        f.now = f.status.confirmedUntil + std::chrono::seconds(1);
+        f.isConfirmed = false;
+        f.isStored = false;
+        f.status.isStoreUnresponsive = true;
+    };
+    const auto endDispute = [](dispatcher_fixture& f) {
+        f.isConfirmed = true;
+        f.isStored = true;
+        f.status.isStoreUnresponsive = false;
+    };
+    const auto restart = [](dispatcher_fixture& f, const std::string& id) {
+        auto restarted = f.worker(id);
+        restarted.incarnationStartedAt = f.incarnationStartedAt = { 2000 };
+        f.openPolls.erase(restarted.id);
+        f.dispatcher.workerRegistered(restarted, f.now, f.now);
+        // A poll that was sent to the earlier incarnation.
+        f.dispatcher.onPollReply({ .worker = { .id = restarted.id, .incarnationStartedAt = { 1000 } } },
+            { .base = dispatcher_fixture::reply(order_outcome::NoAnswer) }, f.now, f.now);
+        f.answerPoll(f.nextPoll(id).value());
+    };
+
+    SECTION("what ran there may have ended, and the later leader have noted it")
+    {
+        takeover_fixture f;
+        f.leaveUnanswered("w1");
+        dispute(f);
+        restart(f, "w1");
+        CHECK(f.plan().starts.empty());
+        CHECK_FALSE(f.dispatcher.knowsAllPlacements(f.now));
+        endDispute(f);
+        CHECK(f.plan().starts.size() == 2);
+    }
+    SECTION("the later leader needn't have waited for it")
+    {
+        dispatcher_fixture f;
+        f.join(f.worker("w1"));
+        f.join(f.worker("w2"));
+        f.add(f.job("j", { f.step(1), f.step(1, 1000, { 0 }) }));
+        const auto first = f.plan().starts.at(0);
+        f.accept(first);
+        REQUIRE(first.worker.id.value == "w1");
+        const std::string begun = GENERATE("w2", "w3");
+        CAPTURE(begun);
+        // The one that was known gets no starts, so that the other one would.
+        f.dispatcher.setCordoned({ "w1" }, true);
+        if (begun == "w3")
+            f.dispatcher.setCordoned({ "w2" }, true);
+        dispute(f);
+        f.answerPoll(f.nextPoll("w1").value(), {}, { f.ended(first, end_kind::Done) });
+        restart(f, begun);
+        CHECK(f.plan().starts.empty());
+        endDispute(f);
+        CHECK(f.plan().starts.size() == 1);
+        CHECK(f.dispatcher.workers().at({ begun }).runs.size() == 1);
+    }
+}
+
 TEST_CASE("A new leader starts at once the jobs that no leader has started", "[dispatch]")
 {
     takeover_fixture f;
