No lease outlasts what the next leader assumes, on slow clocks either

What callers could see: two runs of a task at once, if a leader goes on without the store on a worker that was idle for 30 s or longer and whose clock is slow.

Cause: the next leader assumes that all leases of its predecessor end by 9.5 s after the takeover, with a margin for slow clocks. The predecessor kept to that by its estimate of the worker's clock. By the last reading of an idle worker's clock, a lease lasts longer by 2% of the reading's age: 0.6 s after 30 s, 1.9 s after 95 s, up to the longest lease of workers.

Change: the lease and what the clock may have fallen behind are within the bound together (longestGrant). Idle workers are polled when their clocks may have fallen behind by 2 s, so that this rarely shortens anything.

--- a/Source/Core/Dispatch/Dispatcher.cpp
+++ b/Source/Core/Dispatch/Dispatcher.cpp
@@ -172,8 +172,9 @@
 bool dispatcher::isSchedulable(const worker_state& worker, Common::instant now) const
 {
     return worker.isRegistered && !worker.entry.isDraining && worker.hasReported && worker.knowsClock()
-        && predatesDispute(worker) && !worker.isCordoned && !worker.failedAt && !worker.hasRunsOfUnknownSize() && now >= worker.suspectedUntil
-        && !m_evacuated.contains(worker.entry.dataCentre);
+        && !worker.isCordoned && !worker.failedAt && !worker.hasRunsOfUnknownSize() && now >= worker.suspectedUntil
+        && !m_evacuated.contains(worker.entry.dataCentre) && predatesDispute(worker)
+        && longestGrant(worker, now) >= startLease();
 }
 
 dispatch_orders dispatcher::plan(Common::instant now, Common::wall_millis wall, const leadership_status& status)
--- a/Source/Core/Dispatch/Dispatcher.h
+++ b/Source/Core/Dispatch/Dispatcher.h
@@ -345,6 +345,8 @@
     /// Takes over an earlier leader's placement until the worker reports.
     void inherit(open_job&, const Jobs::task_progress&, Common::instant now);
     void planStops(Common::instant now, dispatch_orders&);
+    /// The longest lease that may be granted to the worker's runs now; may be negative.
+    Common::millis longestGrant(const worker_state&, Common::instant now) const;
     void updateCurrentLease(Common::instant now, const leadership_status&);
     /// Whether a run of a finished or cancelled job has to be stopped and the worker hasn't accepted that. Its leases
     /// aren't renewed: they last for several polls, so that nothing else is lost unless the stop keeps failing.
--- a/Source/Core/Dispatch/DispatcherLeases.cpp
+++ b/Source/Core/Dispatch/DispatcherLeases.cpp
@@ -2,6 +2,9 @@
 
 #include <algorithm>
 
+/// Grants leases and ends what they no longer cover. A leader that takes over assumes that every lease of its predecessor has ended
+/// by `latestLeaseEnd` of the takeover and `maxLease`. So no lease lasts longer than `maxLease` after the last instant at which no other
+/// leader can have taken over. That holds on the worker's clock too, which falls behind the estimate from its last reading.
 namespace Dispatch {
 
 namespace {
@@ -10,6 +13,9 @@
     constexpr Common::millis pollWait { 500 };
     /// Delay before an unanswered stop is sent again.
     constexpr Common::millis stopRetryInterval { 300 };
+    /// An idle worker is polled when its clock may have fallen further behind the estimate, since that shortens the leases that can
+    /// be granted there.
+    constexpr Common::millis maxClockLag { 2000 };
     /// Best-effort tasks are slowed down when the latency of a long-running task on the worker exceeds the first share
     /// of its target, and sped up when it is below the second.
     constexpr double slowDownAboveShare = 0.85;
@@ -37,6 +43,11 @@
     m_currentLease = std::min(lease.maxLease, Common::elapsed(now, status.confirmedUntil + lease.maxLease));
 }
 
+Common::millis dispatcher::longestGrant(const worker_state& worker, Common::instant now) const
+{
+    return Common::elapsed(now, m_confirmedUntil + m_options.lease.maxLease) - worker.clockLag(now);
+}
+
 void dispatcher::expireLeases(Common::instant now, const leadership_status& status)
 {
     // Another leader may have taken over and be renewing these leases.
@@ -105,17 +116,19 @@
         // A start grants its own lease, so there is no need to poll before it is answered.
         const bool hasStarted = worker.hasRunsIn(run_phase::Running) || worker.hasRunsIn(run_phase::Stopping);
         // A worker that didn't answer gets no work until it answers a poll.
-        if (worker.hasReported && !worker.failedAt && !hasStarted && !hasNewAcknowledgement)
+        const bool isClockOld = worker.clockLag(now) > maxClockLag;
+        if (worker.hasReported && !worker.failedAt && !hasStarted && !hasNewAcknowledgement && !isClockOld)
             continue;
         poll_order order { .worker = worker.recipient() };
         // An incarnation that isn't known yet would forget its own ends up to this number, so only new ones are acknowledged.
         if (hasNewAcknowledgement)
             order.acknowledgedEnd = worker.storedEnd;
         // An unresponsive worker gets no renewal, so that its leases expire.
-        const bool isExtended = m_currentLease >= m_options.lease.minLease && worker.knowsClock()
+        const auto lease = std::min(m_currentLease, longestGrant(worker, now));
+        const bool isExtended = lease >= m_options.lease.minLease && worker.knowsClock()
             && worker.unansweredPolls == 0 && !worker.runs.empty() && !hasUnstoppedRuns(worker);
         if (isExtended)
-            order.deadline = worker.grantLease(now, m_currentLease, m_options.bounds);
+            order.deadline = worker.grantLease(now, lease, m_options.bounds);
         if (isExtended && !worker.hasRunsIn(run_phase::Stopping))
             order.wait = pollWait;
         worker.isPollInFlight = true;
