--- a/Source/Core/Dispatch/Dispatcher.h
+++ b/Source/Core/Dispatch/Dispatcher.h
@@ -282,8 +282,9 @@
     Common::instant undisputedUntil(Common::instant now) const;
     /// Whether the worker's incarnation was known when no other leader can have taken over.
     bool predatesDispute(const worker_state&) const;
+    /// Logs which workers have become reconciled, or no longer are.
     void noteReconciliations(Common::instant now);
-    /// Empty while no other leader can have taken over.
+    /// Time since another leader may have taken over; empty while no other leader can have taken over.
     std::optional<Common::millis> disputedFor(Common::instant now) const;
     /// Whether all workers to which an earlier leader may have sent orders are known.
     bool areWorkersKnown(Common::instant now) const;
--- a/Source/Core/Dispatch/WorkerState.h
+++ b/Source/Core/Dispatch/WorkerState.h
@@ -82,6 +82,7 @@
     bool isEndPlanned { false };
     bool isPollInFlight { false };
     Common::instant firstSeenAt;
+    /// When this incarnation first registered or answered.
     Common::instant incarnationKnownSince;
     Common::instant nextPollAt;
     /// When the last answer to a poll arrived.
