Sizes of pools lead a demand that rises

Callers of the first seconds of each turn were late: pools grew after their jobs had begun to wait, while instances stood idle in the spare pool. Long-running tasks that may not share a worker waited for as long as their pool had too few.

Cause: pool_sizer counted what is asked for now, while a move takes 1.5 s; it didn't know of limits of tasks for each worker; and it released the instances of pools that had never been asked for anything.

Change: Capacity/DemandForecast continues the rise of the last second over the time that moves take; a pool has as many workers as its widest step needs; a pool keeps its instances until it was first asked for work that ends, for 30 s at most. The fixture of the older sizing tests sets that time to 0, as it sets headroom and reserve: they test the release itself, all their checks are unchanged.

--- a/Source/Core/Capacity/PoolSizer.cpp
+++ b/Source/Core/Capacity/PoolSizer.cpp
@@ -25,6 +25,7 @@
 
 pool_sizer::pool_sizer(const sizer_options& options)
     : m_options(options)
+    , m_forecast(options.forecast)
 {
 }
 
@@ -56,6 +57,7 @@
         && !dispatcher.isEvacuated(record.entry.dataCentre);
     const bool isBeingDrained = !m_draining.empty() && m_draining.contains(id);
     const auto* worker = workerOn(record, dispatcher);
+    noteArrival(record, worker, now);
     const bool isCordoned = worker && worker->isCordoned;
     if (isUsable && (record.move || !isCordoned))
         ++pool.present;
@@ -94,14 +96,7 @@
             continue;
         const auto size = pool.instanceSize.value_or(fallbackSize);
         pool.demand = dispatcher.demandOf(id, when.wall);
-        auto need = pool.demand.running + pool.demand.waiting;
-        const auto part = [this](auto amount) {
-            return decltype(amount) { static_cast<std::int64_t>(
-                static_cast<double>(amount.value) * m_options.blockedShare) };
-        };
-        need.processor += part(pool.demand.blocked.processor);
-        need.memory += part(pool.demand.blocked.memory);
-        pool.onTime = instancesFor(need, size) + instancesLost(pool.lost, size) + m_options.reserve;
+        estimateNeed(id, pool, size, when.now);
         instancesForLate[id] = instancesFor(pool.demand.late, size);
         std::sort(pool.busy.begin(), pool.busy.end(),
             [](const auto& left, const auto& right) { return left.usedProcessor < right.usedProcessor; });
@@ -113,11 +108,39 @@
             .wanted = pool.wanted,
             .present = pool.present,
             .idle = static_cast<int>(pool.idle.size()),
-            .demand = pool.demand });
+            .demand = pool.demand,
+            .growth = pool.growth });
     }
     return pools;
 }
 
+void pool_sizer::estimateNeed(
+    const Common::pool_id& id, pool_state& pool, const Jobs::resources& each, Common::instant now)
+{
+    auto need = pool.demand.running + pool.demand.waiting;
+    const auto part = [](auto amount, double share) {
+        return decltype(amount) { static_cast<std::int64_t>(static_cast<double>(amount.value) * share) };
+    };
+    need.processor += part(pool.demand.blocked.processor, m_options.blockedShare);
+    need.memory += part(pool.demand.blocked.memory, m_options.blockedShare);
+    m_forecast.note(id, need.processor, now);
+    pool.growth = m_forecast.growth(id);
+    need.processor = part(need.processor, pool.growth);
+    need.memory = part(need.memory, pool.growth);
+    pool.onTime = std::max(instancesFor(need, each) + instancesLost(pool.lost, each) + m_options.reserve,
+        pool.demand.workersForSpread);
+}
+
+void pool_sizer::noteArrival(
+    const instance_record& record, const Dispatch::worker_state* worker, Common::instant now)
+{
+    const auto ordered = m_underWay.find(record.entry.id);
+    if (ordered == m_underWay.end() || !worker || !worker->isRegistered || !worker->hasReported)
+        return;
+    m_forecast.noteMove(Common::elapsed(ordered->second, now));
+    m_underWay.erase(ordered);
+}
+
 void pool_sizer::divideInstances(pool_states& pools, const std::map<Common::pool_id, int>& instancesForLate)
 {
     int total = 0;
@@ -147,9 +170,12 @@
 {
     if (!instances.hasList())
         return;
+    m_firstPlanAt = m_firstPlanAt.value_or(when.now);
     auto pools = survey(rules, instances, dispatcher, when);
     for (const auto& [id, pool] : pools) {
-        if (pool.isSpare || pool.present <= pool.wanted)
+        if (pool.demand.hasShortJobs)
+            m_asked.insert(id);
+        if (pool.isSpare || pool.present <= pool.wanted || isUnasked(id, when.now))
             m_surplusSince.erase(id);
         else
             m_surplusSince.emplace(id, when.now);
@@ -160,6 +186,11 @@
     drainBusy(pools, dispatcher);
 }
 
+bool pool_sizer::isUnasked(const Common::pool_id& pool, Common::instant now) const
+{
+    return !m_asked.contains(pool) && now - *m_firstPlanAt < m_options.unaskedHold;
+}
+
 void pool_sizer::uncordonIdle(instance_registry& instances, Dispatch::dispatcher& dispatcher)
 {
     for (auto id = m_draining.begin(); id != m_draining.end();) {
@@ -283,6 +314,7 @@
     record->changedAt = now;
     record->isOutcomeUnknown = outcome == instance_outcome::NoAnswer;
     if (outcome == instance_outcome::Done) {
+        m_underWay.insert_or_assign(order.instance, now);
         record->entry.pool = order.pool;
         record->entry.state = instance_state::Moving;
         record->entry.worker = {};
--- a/Source/Core/Capacity/PoolSizer.h
+++ b/Source/Core/Capacity/PoolSizer.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "Capacity/DemandForecast.h"
 #include "Capacity/InstanceRegistry.h"
 
 #include <set>
@@ -13,6 +14,8 @@
     int present { 0 };
     int idle { 0 };
     Dispatch::pool_demand demand;
+    /// The multiple of the demand that is expected when an instance that is ordered now is there.
+    double growth { 1 };
 };
 
 struct sizer_options {
@@ -24,6 +27,9 @@
     Common::millis surplusDelay { 1000 };
     /// Share of the demand of steps with unmet dependencies that counts as demand.
     double blockedShare { 0.25 };
+    /// Until a pool was first asked for work that ends, it keeps its instances for at most this time after the leader began.
+    Common::millis unaskedHold { 30'000 };
+    forecast_options forecast;
 };
 
 /// The time of a plan by the clock of leases and by the wall clock.
@@ -59,6 +65,7 @@
         /// Usable now or soon.
         int present { 0 };
         Dispatch::pool_demand demand;
+        double growth { 1 };
         std::vector<instance_record*> idle;
         /// Busy instances that could be drained, the least busy first.
         std::vector<busy_instance> busy;
@@ -70,6 +77,12 @@
     /// Instances that replace capacity that was lost.
     static int instancesLost(const Jobs::resources& lost, const Jobs::resources& each);
     int instancesFor(const Jobs::resources& need, const Jobs::resources& each) const;
+    /// Sets how many instances the pool needs for jobs that can be on time.
+    void estimateNeed(const Common::pool_id&, pool_state&, const Jobs::resources& each, Common::instant now);
+    /// Whether nothing is known of how much the pool will be asked for.
+    bool isUnasked(const Common::pool_id&, Common::instant now) const;
+    /// Measures how long moves take.
+    void noteArrival(const instance_record&, const Dispatch::worker_state*, Common::instant now);
     /// Sets `wanted` of each pool.
     static void divideInstances(pool_states&, const std::map<Common::pool_id, int>& instancesForLate);
     void coverShortages(pool_states&, Dispatch::dispatcher&, Common::instant now, capacity_orders&);
@@ -82,7 +95,13 @@
     bool move(instance_record&, const Common::pool_id&, Dispatch::dispatcher&, Common::instant now, capacity_orders&);
 
     sizer_options m_options;
+    demand_forecast m_forecast;
+    /// When the instances that are on their way were ordered to move.
+    std::map<Common::instance_id, Common::instant> m_underWay;
     std::vector<pool_survey> m_lastSurvey;
+    /// Pools that were asked for work that ends.
+    std::set<Common::pool_id> m_asked;
+    std::optional<Common::instant> m_firstPlanAt;
     /// When each pool's present surplus began.
     std::map<Common::pool_id, Common::instant> m_surplusSince;
     /// Instances whose workers are cordoned so that they become idle and can be moved.
--- a/Source/Core/ControlPlane/CapacityController.cpp
+++ b/Source/Core/ControlPlane/CapacityController.cpp
@@ -2,6 +2,8 @@
 
 #include "Common/Logging.h"
 
+#include <cmath>
+
 namespace ControlPlane {
 
 namespace {
@@ -103,7 +105,9 @@
             { { "pool", pool.pool.value }, { "wanted", std::to_string(pool.wanted) },
                 { "present", std::to_string(pool.present) }, { "idle", std::to_string(pool.idle) },
                 { "running_cores", cores(pool.demand.running) }, { "waiting_cores", cores(pool.demand.waiting) },
-                { "later_cores", cores(pool.demand.blocked) }, { "late_cores", cores(pool.demand.late) } });
+                { "later_cores", cores(pool.demand.blocked) }, { "late_cores", cores(pool.demand.late) },
+                { "growth_percent", std::to_string(std::lround(pool.growth * 100)) },
+                { "spread_workers", std::to_string(pool.demand.workersForSpread) } });
     }
 }
 
--- a/Source/Core/Dispatch/JobOrder.cpp
+++ b/Source/Core/Dispatch/JobOrder.cpp
@@ -41,6 +41,7 @@
 void job_order::insert(open_job& job)
 {
     m_entries.try_emplace(&job);
+    m_demand.hasShortJobs = m_demand.hasShortJobs || !job.hasLongRunningTasks();
     job.reportChangesTo(&m_changed);
 }
 
@@ -113,6 +114,10 @@
     (added.isLate ? m_demand.late : m_demand.waiting) += added.summary.waiting;
     (added.isLate ? m_demand.late : m_demand.blocked) += added.summary.blocked;
     (added.isLate ? m_demand.late : m_demand.running) += added.summary.placed;
+    if (!added.isLate && added.summary.workersForSpread > 0) {
+        ++m_spreads[added.summary.workersForSpread];
+        m_demand.workersForSpread = m_spreads.rbegin()->first;
+    }
 }
 
 void job_order::removeDemand(const entry& removed)
@@ -120,6 +125,12 @@
     (removed.isLate ? m_demand.late : m_demand.waiting) -= removed.summary.waiting;
     (removed.isLate ? m_demand.late : m_demand.blocked) -= removed.summary.blocked;
     (removed.isLate ? m_demand.late : m_demand.running) -= removed.summary.placed;
+    const auto spread = m_spreads.find(removed.summary.workersForSpread);
+    if (removed.isLate || spread == m_spreads.end())
+        return;
+    if (--spread->second == 0)
+        m_spreads.erase(spread);
+    m_demand.workersForSpread = m_spreads.empty() ? 0 : m_spreads.rbegin()->first;
 }
 
 }
--- a/Source/Core/Dispatch/JobOrder.h
+++ b/Source/Core/Dispatch/JobOrder.h
@@ -20,6 +20,11 @@
     Jobs::resources running;
     /// Of all tasks of jobs that can no longer meet their deadline; these aren't part of the other sums.
     Jobs::resources late;
+    /// Workers that the jobs' steps need because of their limit of tasks for each worker, the largest of them. Late jobs
+    /// don't count.
+    int workersForSpread { 0 };
+    /// Whether there is or was a job whose tasks end by themselves.
+    bool hasShortJobs { false };
 
     friend bool operator==(const pool_demand&, const pool_demand&) = default;
 };
@@ -72,6 +77,8 @@
     std::set<late_time> m_lateTimes;
     std::map<step_request, int> m_readyRequests;
     pool_demand m_demand;
+    /// Numbers of workers that jobs need for the limits of their steps, with the number of jobs of each.
+    std::map<int, int> m_spreads;
     Common::wall_millis m_now;
 };
 
--- a/Source/Core/Dispatch/OpenJob.h
+++ b/Source/Core/Dispatch/OpenJob.h
@@ -79,6 +79,9 @@
     Jobs::resources waiting;
     Jobs::resources blocked;
     Jobs::resources placed;
+    /// Workers that the open tasks of a ready step need because of the step's limit for each worker; the largest of all
+    /// steps, 0 if none has a limit.
+    int workersForSpread { 0 };
 };
 
 /// A job that isn't finished, as the leader of its pool tracks it.
--- a/Source/UnitTests/Core/Capacity/CapacityTest.cpp
+++ b/Source/UnitTests/Core/Capacity/CapacityTest.cpp
@@ -92,7 +92,8 @@
     }
 
     std::vector<Capacity::instance_entry> instances;
-    Capacity::capacity_planner planner { Capacity::sizer_options { .headroom = 0, .reserve = 0 } };
+    Capacity::capacity_planner planner { Capacity::sizer_options {
+        .headroom = 0, .reserve = 0, .unaskedHold = Common::millis(0) } };
 };
 
 Jobs::step_spec longRunningStep(int count, int budget)
@@ -255,6 +256,68 @@
     CHECK(cordoned < 4);
 }
 
+TEST_CASE("Before the first job nothing is known of what a pool will be asked for", "[capacity]")
+{
+    capacity_fixture f;
+    f.planner = Capacity::capacity_planner { { .headroom = 0, .reserve = 0, .unaskedHold = std::chrono::seconds(30) } };
+    f.planner.setRules(f.rules);
+    for (const auto* id : { "1", "2", "3" })
+        f.addInstance(id, "pool");
+    f.addInstance("4", "other");
+    f.addInstance("5", "spare");
+    f.list();
+    f.planFleet();
+    f.now += std::chrono::milliseconds(1100);
+
+    SECTION("so it keeps its instances") { CHECK(f.planFleet().moves.empty()); }
+    SECTION("but gives them to a pool that needs them")
+    {
+        auto waiting = f.job("k", { f.step(24) });
+        waiting.queue = { "queue2" };
+        f.add(waiting);
+        f.plan();
+        const auto moves = f.planFleet().moves;
+        CHECK(moves.size() == 3);
+        CHECK(std::all_of(moves.begin(), moves.end(), [](const auto& move) { return move.pool.value == "other"; }));
+    }
+    SECTION("and releases them after a time")
+    {
+        f.now += std::chrono::seconds(30);
+        f.planFleet();
+        f.now += std::chrono::milliseconds(1100);
+        CHECK(f.planFleet().moves.size() == 2);
+    }
+    SECTION("or once it was asked and needs fewer")
+    {
+        f.add(f.job("j", { f.step(1) }));
+        f.planFleet();
+        f.now += std::chrono::milliseconds(1100);
+        CHECK(f.planFleet().moves.size() == 2);
+    }
+}
+
+TEST_CASE("A step whose tasks may not share a worker gets as many workers as it has tasks", "[capacity]")
+{
+    capacity_fixture f;
+    f.addInstance("1", "pool");
+    f.addInstance("2", "other");
+    for (const auto* id : { "3", "4", "5", "6" })
+        f.addInstance(id, "spare");
+    f.list();
+    // By their processors, one worker would do for all three.
+    f.add(f.job("j", { longRunningStep(3, 1) }));
+    f.plan();
+    CHECK(f.settle() == 2);
+    CHECK(f.planner.lastSurvey()[1].pool.value == "pool");
+    CHECK(f.planner.lastSurvey()[1].present == 3);
+    SECTION("A finished job needs none")
+    {
+        f.dispatcher.cancelJob({ "j" });
+        f.planFleet();
+        CHECK(f.planner.lastSurvey()[1].demand.workersForSpread == 0);
+    }
+}
+
 TEST_CASE("Sizes of pools follow the capacities of their workers", "[capacity]")
 {
     capacity_fixture f;
