Order of jobs while a pool is short: shares by weight, and what costs callers least is delayed

In an overload of all queues 629 of 5,304 callers of one queue were on time, 1,507 late and 3,107 had nothing of it.

Cause: the earliest deadline first keeps every job, so each waits behind others that are late as well; and the weights of teams were read and never used, so one team's flood delayed all.

It acts only where the configuration states weights.

--- a/Source/Core/ControlPlane/DispatchLog.cpp
+++ b/Source/Core/ControlPlane/DispatchLog.cpp
@@ -134,6 +134,10 @@
         return "crash_suspected";
     case CrashSuspicionCleared:
         return "crash_suspicion_cleared";
+    case JobPostponed:
+        return "job_postponed";
+    case JobResumed:
+        return "job_resumed";
     case CrashingTaskGivenUp:
         return "crashing_task_given_up";
     case WorkerSuspected:
@@ -167,6 +171,12 @@
         { "worker", event.worker.value }, { "run", std::to_string(event.run.value) }, { "detail", detail } };
     if (event.answeredAfter)
         fields.push_back({ "answered_ms", std::to_string(event.answeredAfter->count()) });
+    if (event.postponed) {
+        fields.push_back({ "team", event.postponed->team.value });
+        fields.push_back({ "due_in_ms", std::to_string(event.postponed->dueIn.count()) });
+        fields.push_back({ "left_core_ms", std::to_string(event.postponed->left.value / 1000) });
+        fields.push_back({ "pool_cores", std::to_string(event.postponed->capacity.value / 1000) });
+    }
     if (event.disputedFor)
         fields.push_back({ "disputed_ms", std::to_string(event.disputedFor->count()) });
     Common::writeEvent(level, Common::log_category::Dispatch, toText(event.kind), fields);
--- a/Source/Core/Dispatch/Dispatcher.h
+++ b/Source/Core/Dispatch/Dispatcher.h
@@ -2,6 +2,7 @@
 
 #include "Dispatch/JobOrder.h"
 #include "Dispatch/OpenJob.h"
+#include "Dispatch/OverloadPlanner.h"
 #include "Dispatch/Placement.h"
 #include "Dispatch/TeamUsage.h"
 
@@ -70,6 +71,10 @@
     CrashSuspected,
     /// The task has run long enough not to be the cause of crashes.
     CrashSuspicionCleared,
+    /// The pool is short: other jobs are started first.
+    JobPostponed,
+    /// It is among the first again.
+    JobResumed,
     /// The task is given up, since workers crash when they start it.
     CrashingTaskGivenUp,
     WorkerSuspected,
@@ -113,6 +118,7 @@
     std::optional<Common::millis> disputedFor;
     /// Time from the sending of a start to its answer.
     std::optional<Common::millis> answeredAfter;
+    std::optional<postponement> postponed;
 };
 
 /// Parts of a planning pass.
@@ -305,6 +311,8 @@
     bool mayGoOn(const open_job&, Common::instant now) const;
     /// Whether a worker has room for any of the tasks that wait and are ready.
     static bool hasRoom(const pool_pass&);
+    /// The jobs that can be on time, in the order in which they are started.
+    start_sequence sequenceJobs(const Common::pool_id&, const std::vector<worker_state*>&, Common::instant now, Common::wall_millis);
     /// False when no waiting task fits any more.
     bool planJobs(const std::vector<open_job*>&, const pool_pass&);
 
@@ -454,6 +462,7 @@
     std::vector<placement> m_pendingStarts;
     start_limits m_startLimits;
     team_usage m_usage;
+    overload_planner m_overload;
     /// Jobs whose progress has to be stored.
     std::set<std::string> m_dirty;
     /// Losses with workers that haven't answered since.
--- a/Source/Core/Dispatch/DispatcherReplies.cpp
+++ b/Source/Core/Dispatch/DispatcherReplies.cpp
@@ -246,6 +246,9 @@
     task->lastRun = std::max(task->lastRun, end.run);
     const bool isLongRunning = job->spec(end.task).isLongRunning;
     if (end.kind == end_kind::Done && !isLongRunning) {
+        if (isCurrent && entry->second.hasBegun)
+            m_overload.noteEnd(
+                job->record().queue, job->spec(end.task).estimate, Common::elapsed(entry->second.startedAt, now));
         if (isCurrent)
             dropRun(worker, end.task);
         worker.failuresInRow = 0;
--- a/Source/Core/Dispatch/JobOrder.cpp
+++ b/Source/Core/Dispatch/JobOrder.cpp
@@ -77,6 +77,14 @@
     }
 }
 
+void job_order::visit(const std::function<void(open_job&, bool isLate)>& action) const
+{
+    for (const auto& [job, entry] : m_entries) {
+        if (!Jobs::isFinal(job->state))
+            action(*job, entry.isLate);
+    }
+}
+
 void job_order::add(open_job& job, entry& entry)
 {
     const auto& summary = job.summary();
--- a/Source/Core/Dispatch/JobOrder.h
+++ b/Source/Core/Dispatch/JobOrder.h
@@ -3,6 +3,7 @@
 #include "Dispatch/OpenJob.h"
 #include "Dispatch/Placement.h"
 
+#include <functional>
 #include <map>
 #include <set>
 #include <unordered_map>
@@ -47,6 +48,8 @@
     const std::vector<open_job*>& onTime() const { return m_onTime; }
     /// The same of jobs that can no longer meet their deadline.
     const std::vector<open_job*>& late() const { return m_late; }
+    /// All jobs that aren't finished, in no particular order, and whether they are late.
+    void visit(const std::function<void(open_job&, bool isLate)>&) const;
     const pool_demand& demand() const { return m_demand; }
     /// Requests of all tasks that wait and are ready, with the number of steps of each.
     const std::map<step_request, int>& readyRequests() const { return m_readyRequests; }
--- a/Source/Core/Rules/FleetRules.cpp
+++ b/Source/Core/Rules/FleetRules.cpp
@@ -43,4 +43,9 @@
     return nullptr;
 }
 
+bool fleet_rules::hasWeights() const
+{
+    return std::any_of(teams.begin(), teams.end(), [](const auto& team) { return team.weight.has_value(); });
+}
+
 }
--- a/Source/Core/Rules/FleetRules.h
+++ b/Source/Core/Rules/FleetRules.h
@@ -46,7 +46,8 @@
 struct team_rule {
     Common::team_id id;
     std::vector<std::string> keys;
-    double weight { 1 };
+    /// Its part of a pool that is full, against that of other teams. Empty when the operators don't state it.
+    std::optional<double> weight;
     /// Maximum resources of the team over all pools; 0 for no limit.
     Jobs::resources limit;
 };
@@ -69,6 +70,8 @@
     /// Team that owns the key. Null when no team does.
     const team_rule* teamOfKey(std::string_view key) const;
     const pool_rule* findPool(const Common::pool_id&) const;
+    /// Whether the operators state how a pool that is full is shared.
+    bool hasWeights() const;
 };
 
 /// An operator's request to maintain some instances.
