Review of the order and the sizes: forecasts take nothing from present demand, cheaper triage

A review by one who wrote neither part found, by reading: a forecast of one pool could take busy instances from another; the last peak was overwritten on its way down; best-effort steps raised sizes; the triage was quadratic in the worst case and its view was computed in each pass; runs adopted at a takeover were learnt as too short; a pool without usable workers postponed everything; finished jobs were logged as resumed. All are mended, with tests for the first two and for the order of postponed jobs. The reference planner of PlanReferenceTest counts the two new sums of demand independently.

--- a/Source/Core/Capacity/DemandForecast.cpp
+++ b/Source/Core/Capacity/DemandForecast.cpp
@@ -43,7 +43,9 @@
     const auto end = static_cast<double>(history.highest.value) * options.shareAtEnd;
     if (static_cast<double>(level.value) > end)
         return;
-    history.lastPeak = history.highest;
+    // The rest of a peak on its way down isn't one of its own.
+    if (static_cast<double>(history.highest.value) > static_cast<double>(history.lastPeak.value) * options.shareAtEnd)
+        history.lastPeak = history.highest;
     history.highest = level;
 }
 
--- a/Source/Core/Capacity/PoolSizer.cpp
+++ b/Source/Core/Capacity/PoolSizer.cpp
@@ -125,17 +125,17 @@
     need.memory += part(pool.demand.blocked.memory, m_options.blockedShare);
     m_forecast.note(id, need.processor, now);
     pool.growth = m_forecast.growth(id);
-    need.processor = part(need.processor, pool.growth);
-    need.memory = part(need.memory, pool.growth);
-    pool.onTime = std::max(instancesFor(need, each) + instancesLost(pool.lost, each) + m_options.reserve,
-        pool.demand.workersForSpread);
+    pool.onTime = instancesFor(need, each) + instancesLost(pool.lost, each) + m_options.reserve;
+    const Jobs::resources grown { .processor = part(need.processor, pool.growth), .memory = part(need.memory, pool.growth) };
+    const int later = instancesFor(grown, each) + instancesLost(pool.lost, each) + m_options.reserve;
+    pool.expected = std::max({ 0, later - pool.onTime, pool.demand.workersForSpread - pool.onTime });
 }
 
 void pool_sizer::noteArrival(
     const instance_record& record, const Dispatch::worker_state* worker, Common::instant now)
 {
     const auto ordered = m_underWay.find(record.entry.id);
-    if (ordered == m_underWay.end() || !worker || !worker->isRegistered || !worker->hasReported)
+    if (ordered == m_underWay.end() || record.move || record.isOrderInFlight || !worker || !worker->isRegistered || !worker->hasReported)
         return;
     m_forecast.noteMove(Common::elapsed(ordered->second, now));
     m_underWay.erase(ordered);
@@ -145,10 +145,12 @@
 {
     int total = 0;
     int onTime = 0;
+    int expected = 0;
     int late = 0;
     for (const auto& [id, pool] : pools) {
         total += pool.present;
         onTime += pool.onTime;
+        expected += pool.expected;
     }
     for (const auto& [id, count] : instancesForLate)
         late += count;
@@ -160,8 +162,8 @@
     for (auto& [id, pool] : pools) {
         if (pool.isSpare)
             continue;
-        pool.wanted
-            = std::max(1, part(pool.onTime, total, onTime)) + part(instancesForLate.at(id), total - onTime, late);
+        pool.wanted = std::max(1, part(pool.onTime, total, onTime)) + part(pool.expected, total - onTime, expected)
+            + part(instancesForLate.at(id), total - onTime - expected, late);
     }
 }
 
@@ -173,7 +175,7 @@
     m_firstPlanAt = m_firstPlanAt.value_or(when.now);
     auto pools = survey(rules, instances, dispatcher, when);
     for (const auto& [id, pool] : pools) {
-        if (pool.demand.hasShortJobs)
+        if (pool.demand.shortJobs > 0)
             m_asked.insert(id);
         if (pool.isSpare || pool.present <= pool.wanted || isUnasked(id, when.now))
             m_surplusSince.erase(id);
@@ -274,8 +276,9 @@
 void pool_sizer::drainBusy(pool_states& pools, Dispatch::dispatcher& dispatcher)
 {
     int missing = -static_cast<int>(m_draining.size());
+    // Nothing that runs gives way to what is only expected.
     for (const auto& [id, pool] : pools)
-        missing += pool.isSpare ? 0 : std::max(0, pool.wanted - pool.present);
+        missing += pool.isSpare ? 0 : std::max(0, pool.wanted - pool.expected - pool.present);
     for (auto& [id, pool] : pools) {
         if (pool.isSpare)
             continue;
@@ -300,6 +303,7 @@
     record.move = move_order { .instance = record.entry.id, .pool = pool };
     record.isOrderInFlight = true;
     record.changedAt = now;
+    m_underWay.insert_or_assign(record.entry.id, now);
     orders.moves.push_back(*record.move);
     return true;
 }
@@ -314,13 +318,13 @@
     record->changedAt = now;
     record->isOutcomeUnknown = outcome == instance_outcome::NoAnswer;
     if (outcome == instance_outcome::Done) {
-        m_underWay.insert_or_assign(order.instance, now);
         record->entry.pool = order.pool;
         record->entry.state = instance_state::Moving;
         record->entry.worker = {};
         record->move.reset();
         return;
     }
+    m_underWay.erase(order.instance);
     record->notBefore = now + refusedOrderDelay;
     if (outcome == instance_outcome::Invalid)
         m_rejectedMoves.insert({ order.instance, order.pool });
--- a/Source/Core/Capacity/PoolSizer.h
+++ b/Source/Core/Capacity/PoolSizer.h
@@ -39,7 +39,8 @@
 };
 
 /// Moves instances to pools with unmet demand, and unneeded ones to the spare pool, where they cost nothing. If there
-/// are too few, they are divided in proportion to the pools' demand; the demand of late jobs is met last.
+/// are too few, they are divided in proportion to the pools' demand; what is expected is met after that, and the demand of
+/// late jobs last.
 class pool_sizer {
 public:
     explicit pool_sizer(const sizer_options&);
@@ -59,8 +60,10 @@
         std::optional<Jobs::resources> instanceSize;
         /// What the capacities of its workers have shrunk by.
         Jobs::resources lost;
-        /// Instances needed by jobs that can meet their deadline, and target with late jobs included.
+        /// Instances needed now by jobs that can meet their deadline; what is expected beyond that, and for tasks that may
+        /// not share a worker; and the target with late jobs included.
         int onTime { 0 };
+        int expected { 0 };
         int wanted { 0 };
         /// Usable now or soon.
         int present { 0 };
--- a/Source/Core/ControlPlane/DispatchLog.cpp
+++ b/Source/Core/ControlPlane/DispatchLog.cpp
@@ -173,6 +173,7 @@
         fields.push_back({ "answered_ms", std::to_string(event.answeredAfter->count()) });
     if (event.postponed) {
         fields.push_back({ "team", event.postponed->team.value });
+        fields.push_back({ "priority", std::to_string(event.postponed->priority) });
         fields.push_back({ "due_in_ms", std::to_string(event.postponed->dueIn.count()) });
         fields.push_back({ "left_core_ms", std::to_string(event.postponed->left.value / 1000) });
         fields.push_back({ "pool_cores", std::to_string(event.postponed->capacity.value / 1000) });
--- a/Source/Core/Dispatch/Dispatcher.h
+++ b/Source/Core/Dispatch/Dispatcher.h
@@ -311,8 +311,9 @@
     bool mayGoOn(const open_job&, Common::instant now) const;
     /// Whether a worker has room for any of the tasks that wait and are ready.
     static bool hasRoom(const pool_pass&);
-    /// The jobs that can be on time, in the order in which they are started.
-    start_sequence sequenceJobs(const Common::pool_id&, const std::vector<worker_state*>&, Common::instant now, Common::wall_millis);
+    /// Starts tasks of jobs that can be on time; the same result as `planJobs`.
+    bool planOnTime(const Common::pool_id&, const pool_pass&, Common::wall_millis wall);
+    overload_view overloadOf(const Common::pool_id&, Common::instant now) const;
     /// False when no waiting task fits any more.
     bool planJobs(const std::vector<open_job*>&, const pool_pass&);
 
--- a/Source/Core/Dispatch/DispatcherReplies.cpp
+++ b/Source/Core/Dispatch/DispatcherReplies.cpp
@@ -121,6 +121,7 @@
         run.startedAt = now;
         run.progressedAt = now;
         run.hasBegun = true;
+        run.hasSeenStart = true;
         worker.lastStartAt = now;
         worker.lastStartJob = order.task.job;
         probationStarted(worker, order.task, now);
@@ -246,7 +247,7 @@
     task->lastRun = std::max(task->lastRun, end.run);
     const bool isLongRunning = job->spec(end.task).isLongRunning;
     if (end.kind == end_kind::Done && !isLongRunning) {
-        if (isCurrent && entry->second.hasBegun)
+        if (isCurrent && entry->second.hasSeenStart)
             m_overload.noteEnd(
                 job->record().queue, job->spec(end.task).estimate, Common::elapsed(entry->second.startedAt, now));
         if (isCurrent)
--- a/Source/Core/Dispatch/DispatcherStarts.cpp
+++ b/Source/Core/Dispatch/DispatcherStarts.cpp
@@ -60,9 +60,8 @@
         .maxPending = m_pendingStarts.size() + static_cast<std::size_t>(m_startLimits.plannedPerPool - planned),
         .probations = probations,
         .maxProbations = std::max<std::size_t>(1, schedulable.size() / workersPerProbation) };
-    const auto sequence = sequenceJobs(pool, schedulable, now, wall);
     // Jobs that can no longer meet their deadline are worth little, so they come after the others.
-    if (hasRoom(pass) && planJobs(sequence.first, pass) && planJobs(sequence.postponed, pass))
+    if (hasRoom(pass) && planOnTime(pool, pass, wall))
         planJobs(jobs.late(), pass);
     m_lastPlan.workersExamined += workers.workersExamined();
 }
--- a/Source/Core/Dispatch/JobOrder.cpp
+++ b/Source/Core/Dispatch/JobOrder.cpp
@@ -41,7 +41,6 @@
 void job_order::insert(open_job& job)
 {
     m_entries.try_emplace(&job);
-    m_demand.hasShortJobs = m_demand.hasShortJobs || !job.hasLongRunningTasks();
     job.reportChangesTo(&m_changed);
 }
 
@@ -93,6 +92,7 @@
     entry.summary = summary;
     entry.isLate = summary.lateAfter < m_now;
     entry.isStartable = !entry.summary.readySteps.empty();
+    entry.isShort = !job.hasLongRunningTasks();
     if (entry.isStartable)
         insertSorted(entry.isLate ? m_late : m_onTime, job);
     for (const auto& step : entry.summary.readySteps)
@@ -119,6 +119,7 @@
 
 void job_order::addDemand(const entry& added)
 {
+    m_demand.shortJobs += added.isShort ? 1 : 0;
     (added.isLate ? m_demand.late : m_demand.waiting) += added.summary.waiting;
     (added.isLate ? m_demand.late : m_demand.blocked) += added.summary.blocked;
     (added.isLate ? m_demand.late : m_demand.running) += added.summary.placed;
@@ -130,6 +131,7 @@
 
 void job_order::removeDemand(const entry& removed)
 {
+    m_demand.shortJobs -= removed.isShort ? 1 : 0;
     (removed.isLate ? m_demand.late : m_demand.waiting) -= removed.summary.waiting;
     (removed.isLate ? m_demand.late : m_demand.blocked) -= removed.summary.blocked;
     (removed.isLate ? m_demand.late : m_demand.running) -= removed.summary.placed;
--- a/Source/Core/Dispatch/JobOrder.h
+++ b/Source/Core/Dispatch/JobOrder.h
@@ -24,8 +24,8 @@
     /// Workers that the jobs' steps need because of their limit of tasks for each worker, the largest of them. Late jobs
     /// don't count.
     int workersForSpread { 0 };
-    /// Whether there is or was a job whose tasks end by themselves.
-    bool hasShortJobs { false };
+    /// Number of jobs whose tasks end by themselves.
+    int shortJobs { 0 };
 
     friend bool operator==(const pool_demand&, const pool_demand&) = default;
 };
@@ -59,6 +59,7 @@
         job_summary summary;
         bool isLate { false };
         bool isStartable { false };
+        bool isShort { false };
     };
     struct late_time {
         Common::wall_millis after;
--- a/Source/Core/Dispatch/OpenJob.cpp
+++ b/Source/Core/Dispatch/OpenJob.cpp
@@ -261,14 +261,14 @@
             const auto& spec = m_record.spec.steps[step];
             const auto open = static_cast<std::int64_t>(state.tasks.size()) - state.done - state.placed;
             const bool isStepReady = isReady(occurrence, static_cast<int>(step));
-            const auto unfinished = static_cast<int>(state.tasks.size()) - state.done;
-            if (spec.maxPerWorker > 0 && isStepReady)
-                summary.workersForSpread = std::max(
-                    summary.workersForSpread, (unfinished + spec.maxPerWorker - 1) / spec.maxPerWorker);
             if (open > 0 && isStepReady)
                 summary.readySteps.push_back({ .occurrence = number, .step = static_cast<int>(step) });
             if (spec.isBestEffort)
                 continue;
+            const auto unfinished = static_cast<int>(state.tasks.size()) - state.done;
+            if (spec.maxPerWorker > 0 && isStepReady)
+                summary.workersForSpread = std::max(
+                    summary.workersForSpread, (unfinished + spec.maxPerWorker - 1) / spec.maxPerWorker);
             (isStepReady ? summary.waiting : summary.blocked) += Jobs::times(spec.request, open);
             summary.placed += Jobs::times(spec.request, state.placed);
         }
--- a/Source/Core/Dispatch/OverloadPlanner.cpp
+++ b/Source/Core/Dispatch/OverloadPlanner.cpp
@@ -67,27 +67,43 @@
         return left->dueAt != right->dueAt ? left->dueAt < right->dueAt : left->record().id < right->record().id;
     }
 
+    /// Jobs that can be on time, in order of their deadlines.
+    std::vector<open_job*> candidatesOf(const job_order& jobs)
+    {
+        std::vector<open_job*> candidates;
+        jobs.visit([&](open_job& job, bool isLate) {
+            if (!isLate && !job.hasLongRunningTasks())
+                candidates.push_back(&job);
+        });
+        std::sort(candidates.begin(), candidates.end(), isDueBefore);
+        return candidates;
+    }
+
+}
+
+bool overload_planner::isDue(
+    const Common::pool_id& pool, const Rules::fleet_rules& rules, Common::instant now) const
+{
+    if (!rules.hasWeights())
+        return false;
+    const auto found = m_pools.find(pool);
+    return found == m_pools.end() || !found->second.doneAt || now - *found->second.doneAt >= triageInterval;
 }
 
 triage_changes overload_planner::update(const Common::pool_id& pool, const job_order& jobs,
     const Rules::fleet_rules& rules, const overload_view& view)
 {
     auto& state = m_pools[pool];
-    if (state.doneAt && view.now - *state.doneAt < triageInterval)
-        return {};
-    // Whatever waits fits.
-    if (!rules.hasWeights() || jobs.demand().waiting.processor <= view.free)
-        return replace(state, {});
     state.doneAt = view.now;
+    const auto candidates = candidatesOf(jobs);
+    // Whatever waits fits, or nothing can be said.
+    if (jobs.demand().waiting.processor <= view.free || view.capacity.value <= 0)
+        return replace(state, {}, candidates);
     triage_input input { .capacity = view.capacity, .now = view.wall };
-    std::vector<open_job*> candidates;
     jobs.visit([&](open_job& job, bool isLate) {
         if (isLate)
             input.occupied += workOfRunning(job, m_runTimes);
-        else if (!job.hasLongRunningTasks())
-            candidates.push_back(&job);
     });
-    std::sort(candidates.begin(), candidates.end(), isDueBefore);
     for (const auto& team : rules.teams)
         input.shares[team.id] = { .weight = team.weight.value_or(1), .limit = team.limit.processor };
     for (auto* job : candidates) {
@@ -99,14 +115,16 @@
         const auto& job = input.jobs[index];
         postponed.push_back({ .job = candidates[index]->record().id,
             .team = job.team,
+            .priority = job.priority,
             .dueIn = Common::millis(job.dueAt.value - view.wall.value),
             .left = job.left,
             .capacity = view.capacity });
     }
-    return replace(state, postponed);
+    return replace(state, postponed, candidates);
 }
 
-triage_changes overload_planner::replace(pool_state& state, const std::vector<postponement>& postponed)
+triage_changes overload_planner::replace(
+    pool_state& state, const std::vector<postponement>& postponed, const std::vector<open_job*>& candidates)
 {
     triage_changes changes;
     std::unordered_set<std::string> ids;
@@ -115,33 +133,28 @@
         if (!state.postponed.contains(job.job.value))
             changes.postponed.push_back(job);
     }
-    for (const auto& id : state.postponed) {
-        if (!ids.contains(id))
-            changes.resumed.push_back({ id });
+    for (const auto* job : candidates) {
+        const auto& id = job->record().id;
+        if (state.postponed.contains(id.value) && !ids.contains(id.value))
+            changes.resumed.push_back(id);
     }
     state.postponed = std::move(ids);
     return changes;
 }
 
-start_sequence overload_planner::sequence(const Common::pool_id& pool, const job_order& jobs) const
+bool overload_planner::isShort(const Common::pool_id& pool) const
 {
     const auto found = m_pools.find(pool);
-    if (found == m_pools.end() || found->second.postponed.empty())
-        return { .first = jobs.onTime() };
-    start_sequence sequence;
-    for (auto* job : jobs.onTime()) {
-        const bool isPostponed = found->second.postponed.contains(job->record().id.value);
-        (isPostponed ? sequence.postponed : sequence.first).push_back(job);
-    }
-    return sequence;
+    return found != m_pools.end() && !found->second.postponed.empty();
 }
 
-bool overload_planner::isShort(const Common::pool_id& pool) const { return postponedIn(pool) > 0; }
-
-std::size_t overload_planner::postponedIn(const Common::pool_id& pool) const
+start_sequence overload_planner::sequence(const Common::pool_id& pool, const job_order& jobs) const
 {
-    const auto found = m_pools.find(pool);
-    return found == m_pools.end() ? 0 : found->second.postponed.size();
+    start_sequence sequence;
+    const auto& postponed = m_pools.at(pool).postponed;
+    for (auto* job : jobs.onTime())
+        (postponed.contains(job->record().id.value) ? sequence.postponed : sequence.first).push_back(job);
+    return sequence;
 }
 
 }
--- a/Source/Core/Dispatch/OverloadPlanner.h
+++ b/Source/Core/Dispatch/OverloadPlanner.h
@@ -19,6 +19,7 @@
 struct postponement {
     Common::job_id job;
     Common::team_id team;
+    int priority { 0 };
     Common::millis dueIn { 0 };
     /// Expected work that is left, and what the pool's workers offer.
     processor_work left;
@@ -33,7 +34,7 @@
 
 /// What the triage of a pool starts from.
 struct overload_view {
-    /// Of the pool's workers that get new work, without what long-running tasks take.
+    /// Of the pool's workers that get new work, and what jobs use on the others; without what long-running tasks take.
     Common::millicores capacity;
     /// The part of it that nothing uses.
     Common::millicores free;
@@ -48,13 +49,13 @@
     {
         m_runTimes.note(queue, estimate, actual);
     }
-    /// Repeats the triage of the pool when the last one is too old.
+    /// Whether the pool's last triage is too old, and the operators state how a full pool is shared.
+    bool isDue(const Common::pool_id&, const Rules::fleet_rules&, Common::instant now) const;
     triage_changes update(const Common::pool_id&, const job_order&, const Rules::fleet_rules&, const overload_view&);
-    start_sequence sequence(const Common::pool_id&, const job_order&) const;
     /// Whether jobs of the pool are postponed.
     bool isShort(const Common::pool_id&) const;
-    /// Number of postponed jobs of the pool.
-    std::size_t postponedIn(const Common::pool_id&) const;
+    /// The pool's jobs that can be on time, while it is short.
+    start_sequence sequence(const Common::pool_id&, const job_order&) const;
 
 private:
     struct pool_state {
@@ -62,7 +63,8 @@
         std::unordered_set<std::string> postponed;
     };
 
-    static triage_changes replace(pool_state&, const std::vector<postponement>&);
+    static triage_changes replace(
+        pool_state&, const std::vector<postponement>&, const std::vector<open_job*>& candidates);
 
     run_times m_runTimes;
     std::map<Common::pool_id, pool_state> m_pools;
--- a/Source/Core/Dispatch/OverloadTriage.cpp
+++ b/Source/Core/Dispatch/OverloadTriage.cpp
@@ -2,7 +2,6 @@
 
 #include <algorithm>
 #include <array>
-#include <functional>
 #include <map>
 #include <optional>
 #include <set>
@@ -38,6 +37,11 @@
             for (std::size_t index = 0; index < m_input.jobs.size(); ++index) {
                 const auto& job = m_input.jobs[index];
                 add(index);
+                // What others occupy makes this job late; postponing earlier ones wouldn't help.
+                if (asDouble(m_input.occupied) >= workUntil(job.dueAt, m_input.capacity)) {
+                    postpone(index);
+                    continue;
+                }
                 while (isTeamOverLimit(job))
                     postpone(findLoserOf(m_teams[job.priority][job.team]));
                 while (m_kept > workUntil(job.dueAt, m_input.capacity)) {
@@ -52,11 +56,21 @@
         }
 
     private:
+        /// A kept job: of those that are worth the same, the last one loses first.
+        struct kept_job {
+            double worth { 0 };
+            std::size_t index { 0 };
+
+            friend bool operator<(const kept_job& left, const kept_job& right)
+            {
+                return left.worth != right.worth ? left.worth < right.worth : left.index > right.index;
+            }
+        };
         struct team_state {
             double kept { 0 };
-            /// Positions of the kept jobs by what they are worth, the one that loses first at the beginning: of those that
-            /// are worth the same, the last one.
-            std::map<double, std::set<std::size_t, std::greater<>>> jobs;
+            std::size_t count { 0 };
+            /// The kept jobs of each size, the one that loses first at the beginning.
+            std::array<std::set<kept_job>, sizes> jobs;
         };
 
         static double asDouble(processor_work work) { return static_cast<double>(work.value); }
@@ -75,7 +89,7 @@
             if (share == m_input.shares.end() || share->second.limit.value <= 0)
                 return false;
             const auto& team = m_teams.at(job.priority).at(job.team);
-            return !team.jobs.empty() && team.kept > workUntil(job.dueAt, share->second.limit);
+            return team.count > 0 && team.kept > workUntil(job.dueAt, share->second.limit);
         }
 
         std::size_t sizeOf(std::size_t index) const
@@ -99,7 +113,9 @@
             const auto& job = m_input.jobs[index];
             auto& team = m_teams[job.priority][job.team];
             team.kept += asDouble(job.left);
-            team.jobs[worth(index)].insert(index);
+            ++team.count;
+            m_worths.push_back(worth(index));
+            team.jobs[sizeOf(index)].insert({ m_worths[index], index });
             m_kept += asDouble(job.left);
             ++m_seen;
             ++m_seenOfSize[sizeOf(index)];
@@ -111,9 +127,8 @@
             return found == m_input.shares.end() ? 1 : std::max(found->second.weight, 1e-6);
         }
 
-        bool isSizeSpent(std::size_t index) const
+        bool isSizeSpent(std::size_t size) const
         {
-            const auto size = sizeOf(index);
             const auto share = static_cast<double>(m_postponed.size() + 1) / static_cast<double>(m_seen);
             const auto ofSize = static_cast<double>(m_postponedOfSize[size] + 1) / static_cast<double>(m_seenOfSize[size]);
             // The first of each size is never too much.
@@ -128,7 +143,7 @@
                 double most = 0;
                 for (const auto& [id, team] : priority->second) {
                     const auto use = team.kept / weightOf(id);
-                    if (!team.jobs.empty() && (!largest || use > most)) {
+                    if (team.count > 0 && (!largest || use > most)) {
                         largest = &team;
                         most = use;
                     }
@@ -143,13 +158,18 @@
         /// The team has a kept job.
         std::size_t findLoserOf(const team_state& team) const
         {
-            for (const auto& [worth, jobs] : team.jobs) {
-                const auto found = std::find_if(
-                    jobs.begin(), jobs.end(), [this](auto index) { return !isSizeSpent(index); });
-                if (found != jobs.end())
-                    return *found;
+            std::optional<kept_job> least;
+            std::optional<kept_job> leastOfAll;
+            for (std::size_t size = 0; size < sizes; ++size) {
+                if (team.jobs[size].empty())
+                    continue;
+                const auto& first = *team.jobs[size].begin();
+                if (!leastOfAll || first < *leastOfAll)
+                    leastOfAll = first;
+                if (!isSizeSpent(size) && (!least || first < *least))
+                    least = first;
             }
-            return *team.jobs.begin()->second.begin();
+            return least ? least->index : leastOfAll->index;
         }
 
         void postpone(std::size_t index)
@@ -157,10 +177,8 @@
             const auto& job = m_input.jobs[index];
             auto& team = m_teams[job.priority][job.team];
             team.kept -= asDouble(job.left);
-            const auto same = team.jobs.find(worth(index));
-            same->second.erase(index);
-            if (same->second.empty())
-                team.jobs.erase(same);
+            --team.count;
+            team.jobs[sizeOf(index)].erase({ m_worths[index], index });
             m_kept -= asDouble(job.left);
             ++m_postponedOfSize[sizeOf(index)];
             m_postponed.push_back(index);
@@ -173,6 +191,7 @@
         std::array<std::size_t, sizes> m_seenOfSize {};
         std::array<std::size_t, sizes> m_postponedOfSize {};
         std::map<int, std::map<Common::team_id, team_state>> m_teams;
+        std::vector<double> m_worths;
         std::vector<std::size_t> m_postponed;
     };
 
--- a/Source/Core/Dispatch/OverloadTriage.h
+++ b/Source/Core/Dispatch/OverloadTriage.h
@@ -29,7 +29,8 @@
 /// What a team may use of the pool.
 struct triage_share {
     double weight { 1 };
-    /// Most that its tasks may use at the same time; 0 for no limit.
+    /// Most that its tasks may use at the same time, over all pools; 0 for no limit. Of this pool's jobs no more can be
+    /// finished than it allows.
     Common::millicores limit;
 };
 
@@ -47,8 +48,8 @@
 /// Which jobs to postpone, by their position in the input.
 ///
 /// The pattern of load that it answers: more work is due than the pool can finish. In order of deadlines each job then
-/// waits behind others that are late as well, so that all miss by a little. Without the postponed jobs, the others can all be
-/// finished in time. Among those that delay a job too much, the triage postpones first
+/// waits behind others that are late as well, so that all miss by a little. Without the postponed jobs, the pool's processors
+/// can do the work of the others in time. Among those that delay a job too much, the triage postpones first
 /// - jobs of the lowest priority;
 /// - of the team that would use most for its weight, so that the flood of one team delays that team's own jobs;
 /// - the job that brings its caller least for the work that is left: a caller's loss has a part that is the same for each job
--- a/Source/Core/Dispatch/WorkerState.h
+++ b/Source/Core/Dispatch/WorkerState.h
@@ -36,6 +36,8 @@
     bool isSent { true };
     /// A worker has confirmed that the task began.
     bool hasBegun { false };
+    /// This leader has seen it begin, at `startedAt`.
+    bool hasSeenStart { false };
     /// The present incarnation of the worker has listed the run.
     bool isListed { false };
     Common::instant startedAt;
--- a/Source/UnitTests/Core/Capacity/CapacityTest.cpp
+++ b/Source/UnitTests/Core/Capacity/CapacityTest.cpp
@@ -289,13 +289,45 @@
     }
     SECTION("or once it was asked and needs fewer")
     {
-        f.add(f.job("j", { f.step(1) }));
+        auto job = f.job("j", { f.step(1) });
+        job.acceptedAt = f.wall();
+        job.spec.steps[0].estimate = std::chrono::seconds(60);
+        f.add(job);
         f.planFleet();
         f.now += std::chrono::milliseconds(1100);
         CHECK(f.planFleet().moves.size() == 2);
     }
 }
 
+TEST_CASE("What a pool is expected to need takes nothing from another one that needs it now", "[capacity]")
+{
+    capacity_fixture f;
+    for (const auto* id : { "1", "2" })
+        f.addInstance(id, "pool");
+    for (const auto* id : { "3", "4" })
+        f.addInstance(id, "other");
+    f.list();
+    const auto submit = [&f](const std::string& id, const std::string& queue, int count) {
+        auto job = f.job(id, { f.step(count) });
+        job.queue = { queue };
+        job.acceptedAt = f.wall();
+        job.spec.steps[0].estimate = std::chrono::seconds(60);
+        f.add(job);
+    };
+    submit("busy", "queue2", 16);
+    for (const auto& start : f.plan().starts)
+        f.accept(start);
+    // The other pool's demand rises within 0.4 s from 2 to 14 tasks of one core.
+    for (int turn = 0; turn < 7; ++turn) {
+        submit("rise" + std::to_string(turn), "queue", 2);
+        f.now += std::chrono::milliseconds(60);
+        CHECK(f.planFleet().moves.empty());
+    }
+    CHECK(f.planner.lastSurvey()[1].growth > 1.5);
+    CHECK(std::none_of(f.dispatcher.workers().begin(), f.dispatcher.workers().end(),
+        [](const auto& worker) { return worker.second.isCordoned; }));
+}
+
 TEST_CASE("A step whose tasks may not share a worker gets as many workers as it has tasks", "[capacity]")
 {
     capacity_fixture f;
--- a/Source/UnitTests/Core/Capacity/DemandForecastTest.cpp
+++ b/Source/UnitTests/Core/Capacity/DemandForecastTest.cpp
@@ -70,6 +70,12 @@
         f.rise(100'000, 10);
         f.hold(10'000, 30);
         CHECK(f.forecast.lastPeak(f.pool).value == 1'010'000);
+        SECTION("However slowly it ended")
+        {
+            for (const auto level : { 5'000, 1'000, 100, 0, 0 })
+                f.hold(level, 5);
+            CHECK(f.forecast.lastPeak(f.pool).value == 1'010'000);
+        }
         SECTION("Once it has begun")
         {
             f.rise(15'000, 10);
--- a/Source/UnitTests/Core/Dispatch/OverloadTriageTest.cpp
+++ b/Source/UnitTests/Core/Dispatch/OverloadTriageTest.cpp
@@ -187,6 +187,19 @@
                 postponed.insert(event.task.job.value);
         }
         CHECK(postponed == std::set<std::string> { "a1", "a2", "a3", "a4", "a5" });
+        SECTION("Postponed jobs are started when there is room")
+        {
+            fixture.join(fixture.worker("w2", 64));
+            std::set<std::string> started;
+            for (int turn = 0; turn < 12; ++turn)
+                started.merge(startedJobs());
+            CHECK(started == std::set<std::string> { "a1", "a2", "a3", "a4", "a5", "b" });
+        }
+        SECTION("The job of the small team comes before them")
+        {
+            fixture.join(fixture.worker("w2", 4));
+            CHECK(startedJobs() == std::set<std::string> { "b" });
+        }
     }
     SECTION("Without weights the order is that of the deadlines")
     {
--- a/Source/UnitTests/Core/Dispatch/PlanReferenceTest.cpp
+++ b/Source/UnitTests/Core/Dispatch/PlanReferenceTest.cpp
@@ -1,6 +1,7 @@
 #include "DispatcherFixture.h"
 
 #include <catch2/catch.hpp>
+#include <cmath>
 #include <random>
 #include <tuple>
 
@@ -67,12 +68,18 @@
             if (m_rules.findQueue(job->record().queue)->pool != pool)
                 continue;
             const bool isLate = isTooLate(*job, wall);
+            demand.shortJobs += job->hasLongRunningTasks() ? 0 : 1;
             const auto& occurrence = job->occurrences().at(0);
             for (std::size_t step = 0; step < occurrence.steps.size(); ++step) {
                 const auto& spec = job->record().spec.steps[step];
                 const auto& state = occurrence.steps[step];
                 if (spec.isBestEffort)
                     continue;
+                if (!isLate && spec.maxPerWorker > 0 && job->isReady(occurrence, static_cast<int>(step))) {
+                    const auto unfinished = static_cast<double>(static_cast<int>(state.tasks.size()) - state.done);
+                    demand.workersForSpread = std::max(
+                        demand.workersForSpread, static_cast<int>(std::ceil(unfinished / spec.maxPerWorker)));
+                }
                 const auto open = static_cast<std::int64_t>(state.tasks.size()) - state.done - state.placed;
                 const bool isReady = job->isReady(occurrence, static_cast<int>(step));
                 (isLate ? demand.late : isReady ? demand.waiting
