--- a/Source/UnitTests/Sessions/Deployment.h
+++ b/Source/UnitTests/Sessions/Deployment.h
@@ -48,6 +48,7 @@
     void addTeam(const std::string& team, int share, int upperLimit);
 
     child_process& daemon(int index) { return *m_daemons.at(static_cast<std::size_t>(index)).process; }
+    std::uint16_t callersPort(int index) const { return m_daemons.at(static_cast<std::size_t>(index)).callers; }
     bool isReady(int index);
     void waitReady(int index);
     /// Index of the daemon that holds the pool; -1 without one.
--- a/Source/UnitTests/Sessions/Process.h
+++ b/Source/UnitTests/Sessions/Process.h
@@ -16,6 +16,7 @@
     child_process(const child_process&) = delete;
     child_process& operator=(const child_process&) = delete;
 
+    pid_t id() const { return m_process; }
     void signal(int number) const;
     /// Waits for the end and returns the exit code, or the negated number of the signal that ended it.
     int wait();
