Entry instances bound what callers hold, and their connections

What callers saw: a crowd that sent trailers or chunk headers without end, or many chunked bodies at once, used up the memory of an entry instance. Stalled connections took places up to 3000, whatever the process had.

Cause: the parser's buffer had no limit, so trailers and chunk headers, which have to be complete before they are parsed, grew it without bound. Nothing counted the bytes of all requests together. The three listeners together could use more descriptors than a process has.

Change: a budget (EventLoop/RequestBudget, without I/O) counts the bytes of the requests of a listener and its connections. Over a limit the connection that holds most, or has been incomplete longest, is closed without an answer, which promises nothing; a complete request is always answered. The buffer and the raw bytes of one request are bounded. The listeners of readiness and counters have small limits of their own.

--- a/Source/Core/ControlPlane/EntryNode.cpp
+++ b/Source/Core/ControlPlane/EntryNode.cpp
@@ -37,6 +37,15 @@
     /// Time before that in which the answers to requests that are still open are sent.
     constexpr Common::millis lastAnswersTime { 300 };
 
+    /// The load balancer and readers of counters use a few connections and send no bodies. Their own limits keep them
+    /// served while callers use up theirs.
+    EventLoop::listener_limits probeLimits()
+    {
+        constexpr std::size_t connections = 32;
+        constexpr std::size_t bytes = 1U << 20U;
+        return { .bodyBytes = 0, .budget = { .connections = connections, .heldBytes = bytes } };
+    }
+
 }
 
 struct entry_node::loop_timers : Records::timer_service {
@@ -169,12 +178,12 @@
             .storeLimits = m_settings.storeLimits });
     m_callerListener = std::make_unique<EventLoop::http_listener>(
         m_parts.loop, m_settings.callers,
-        EventLoop::listener_limits {}, [this](const EventLoop::http_request& request, const EventLoop::responder& respond) {
+        EventLoop::listener_limits { .budget = m_settings.callerBudget }, [this](const EventLoop::http_request& request, const EventLoop::responder& respond) {
             m_jobApi->handle(request, respond);
         },
         &m_parts.traffic, callerTraffic);
     m_readinessListener = std::make_unique<EventLoop::http_listener>(m_parts.loop, m_settings.readiness,
-        EventLoop::listener_limits {}, [this](const EventLoop::http_request& request, const EventLoop::responder& respond) {
+        probeLimits(), [this](const EventLoop::http_request& request, const EventLoop::responder& respond) {
             answerReadiness(request, respond);
         });
     if (!m_callerListener->start() || !m_readinessListener->start() || !startMetrics())
@@ -210,7 +219,7 @@
     if (!m_settings.metrics)
         return true;
     m_metricsListener = std::make_unique<EventLoop::http_listener>(m_parts.loop, *m_settings.metrics,
-        EventLoop::listener_limits {}, [this](const EventLoop::http_request&, const EventLoop::responder& respond) {
+        probeLimits(), [this](const EventLoop::http_request&, const EventLoop::responder& respond) {
             respond({ .status = 200, .body = metricsText(), .contentType = "text/plain" });
         });
     return m_metricsListener->start();
@@ -222,6 +231,13 @@
     const auto add = [&text](const std::string& name, auto value) { text += "loft_" + name + ' ' + std::to_string(value) + '\n'; };
     for (const auto& [name, count] : m_eventCounters.all())
         add(name, count);
+    const auto callers = m_callerListener->use();
+    add("caller_held_bytes", callers.heldBytes);
+    add("caller_connections", m_callerListener->openConnections());
+    add("caller_connections_closed{reason=\"held_bytes\"}", callers.closedForBytes);
+    add("caller_connections_closed{reason=\"connections\"}", callers.closedForConnections);
+    add("caller_connections_not_admitted", callers.notAdmitted);
+    add("caller_requests_rejected", callers.rejected);
     add("jobs", m_jobRegistry.size());
     add("loop_behind", m_load.isBehind() ? 1 : 0);
     add("loop_last_lag_ms", m_load.lag().count());
--- a/Source/Core/ControlPlane/EntryNodeSettings.h
+++ b/Source/Core/ControlPlane/EntryNodeSettings.h
@@ -3,6 +3,7 @@
 #include "Common/Endpoint.h"
 #include "ControlPlane/LeaderCapacity.h"
 #include "Dispatch/Orders.h"
+#include "EventLoop/RequestBudget.h"
 #include "Records/RecordStore.h"
 
 #include <optional>
@@ -16,6 +17,8 @@
     /// Name of the instance.
     std::string node;
     Common::endpoint callers;
+    /// What the callers' connections and requests may use.
+    EventLoop::request_budget_limits callerBudget;
     Common::endpoint readiness;
     /// Address at which counters are served; empty for none.
     std::optional<Common::endpoint> metrics;
--- a/Source/Core/EventLoop/HttpListener.cpp
+++ b/Source/Core/EventLoop/HttpListener.cpp
@@ -1,5 +1,6 @@
 #include "EventLoop/HttpListener.h"
 
+#include "EventLoop/ClosingReport.h"
 #include "EventLoop/EventLoop.h"
 #include "EventLoop/TrafficMeter.h"
 
@@ -9,7 +10,7 @@
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/beast/core.hpp>
 #include <boost/beast/http.hpp>
-#include <set>
+#include <map>
 
 namespace EventLoop {
 
@@ -40,16 +41,25 @@
 
 struct http_listener::state : std::enable_shared_from_this<state> {
     struct session : std::enable_shared_from_this<session> {
-        session(tcp::socket socket, std::shared_ptr<state> owner)
+        session(tcp::socket socket, std::shared_ptr<state> owner, connection_number assigned)
             : stream(std::move(socket))
             , parent(std::move(owner))
+            , number(assigned)
+            , buffer(bufferParts * parent->limits.headerBytes)
         {
         }
 
         void readRequest()
         {
             stream.expires_after(parent->limits.requestTimeout);
-            readMessage();
+            isIdle = false;
+            receivedBytes = 0;
+            parser.emplace();
+            parser->header_limit(parent->limits.headerBytes);
+            parser->body_limit(parent->limits.bodyBytes);
+            parser->eager(true);
+            parent->budget.beginRequest(number, Common::boot_clock::now());
+            parseInput();
         }
 
         void awaitRequest()
@@ -63,6 +73,8 @@
             }
             stream.async_read_some(buffer.prepare(firstReadBytes),
                 [self = shared_from_this()](const error_code& failed, std::size_t size) {
+                    if (self->isClosed)
+                        return;
                     if (failed && !self->hasInput()) {
                         self->close();
                         return;
@@ -72,31 +84,73 @@
                 });
         }
 
-        void readMessage()
+        void parseInput()
         {
-            isIdle = false;
-            parser.emplace();
-            parser->header_limit(parent->limits.headerBytes);
-            parser->body_limit(parent->limits.bodyBytes);
-            http::async_read(
-                stream, buffer, *parser, [self = shared_from_this()](const error_code& failed, std::size_t size) {
-                    self->receivedBytes = size;
-                    if (!failed)
-                        self->handle();
-                    else if (failed == http::error::body_limit)
-                        self->reject(http::status::payload_too_large);
-                    else if (failed == http::error::header_limit)
-                        self->reject(http::status::request_header_fields_too_large);
-                    else if (failed == http::error::end_of_stream || failed == beast::error::timeout
-                        || failed == boost::asio::error::connection_reset)
-                        self->close();
+            error_code failed;
+            if (buffer.size() > 0) {
+                const auto used = parser->put(buffer.data(), failed);
+                buffer.consume(used);
+                receivedBytes += used;
+            }
+            if (failed == http::error::need_more)
+                failed = {};
+            if (!holdInput())
+                return;
+            if (failed)
+                endReading(failed);
+            else if (parser->is_done())
+                handle();
+            else if (receivedBytes > parent->limits.messageBytes())
+                endReading(http::error::body_limit);
+            else if (buffer.size() == buffer.max_size())
+                endReading(http::error::buffer_overflow);
+            else
+                readMore();
+        }
+
+        void readMore()
+        {
+            const auto size = beast::read_size(buffer, maxReadBytes);
+            stream.async_read_some(
+                buffer.prepare(size), [self = shared_from_this()](const error_code& failed, std::size_t received) {
+                    if (self->isClosed)
+                        return;
+                    self->buffer.commit(received);
+                    if (failed)
+                        self->endReading(failed);
                     else
-                        self->reject(http::status::bad_request);
+                        self->parseInput();
                 });
         }
 
+        /// False when the connection was closed since too much is held.
+        bool holdInput()
+        {
+            const auto& body = parser->get().body();
+            // The fields of the header are held beside the bytes of the buffer.
+            const auto headerBytes = std::min<std::size_t>(receivedBytes, parent->limits.headerBytes);
+            parent->hold(number, buffer.capacity() + body.capacity() + headerBytes);
+            return !isClosed;
+        }
+
+        void endReading(const error_code& failed)
+        {
+            if (failed == http::error::body_limit)
+                reject(http::status::payload_too_large);
+            else if (failed == http::error::header_limit || failed == http::error::buffer_overflow)
+                reject(http::status::request_header_fields_too_large);
+            else if (failed == boost::asio::error::eof && parser->got_some())
+                reject(http::status::bad_request);
+            else if (failed == boost::asio::error::eof || failed == beast::error::timeout
+                || failed == boost::asio::error::connection_reset)
+                close();
+            else
+                reject(http::status::bad_request);
+        }
+
         void handle()
         {
+            parent->budget.beginAnswer(number);
             auto message = parser->release();
             isKeepAlive = message.keep_alive();
             stream.expires_never();
@@ -131,8 +185,12 @@
             stream.expires_after(parent->limits.idleTimeout);
             http::async_write(
                 stream, response, [self = shared_from_this()](const error_code& failed, std::size_t size) {
+                    if (self->isClosed)
+                        return;
                     self->parent->countMessages(size, self->receivedBytes);
                     self->endRequest();
+                    self->parent->budget.endAnswer(self->number, Common::boot_clock::now());
+                    self->shrinkBuffer();
                     if (failed || !self->isKeepAlive)
                         self->close();
                     else
@@ -148,9 +206,20 @@
             --parent->openRequests;
         }
 
+        /// An idle connection keeps no more than it needs to wait for a request.
+        void shrinkBuffer()
+        {
+            if (buffer.size() > 0 || buffer.capacity() <= firstReadBytes)
+                return;
+            buffer.clear();
+            buffer.shrink_to_fit();
+        }
+
         void reject(http::status status)
         {
             isKeepAlive = false;
+            ++parent->use.rejected;
+            parent->budget.beginAnswer(number);
             respond({ .status = static_cast<int>(status) });
         }
 
@@ -172,22 +241,31 @@
 
         void close()
         {
+            if (std::exchange(isClosed, true))
+                return;
+            endRequest();
             error_code ignored;
             stream.socket().shutdown(tcp::socket::shutdown_both, ignored);
             stream.socket().close(ignored);
-            parent->sessions.erase(shared_from_this());
+            parent->budget.release(number);
+            parent->sessions.erase(number);
         }
 
         /// Size of the read that waits for a request.
         static constexpr std::size_t firstReadBytes = 2048;
+        static constexpr std::size_t maxReadBytes = 65536;
+        /// The buffer holds a header, or the trailers of a chunked body, and what follows.
+        static constexpr std::size_t bufferParts = 2;
         beast::tcp_stream stream;
         std::shared_ptr<state> parent;
+        const connection_number number;
         beast::flat_buffer buffer;
         std::optional<http::request_parser<http::string_body>> parser;
         http::response<http::string_body> response;
         std::size_t receivedBytes { 0 };
         bool isKeepAlive { true };
         bool isIdle { false };
+        bool isClosed { false };
         bool hasOpenRequest { false };
         bool isAnswered { false };
         bool hasHadRequest { false };
@@ -203,6 +281,7 @@
         , meter(counts)
         , kind(callKind)
         , acceptor(owner.context())
+        , budget(bounds.budget)
     {
     }
 
@@ -258,22 +337,45 @@
 
     void addSession(tcp::socket socket)
     {
-        if (isClosed || sessions.size() >= limits.connections)
+        if (isClosed)
+            return;
+        const connection_number number { ++lastNumber };
+        const auto decision = budget.admit(number, Common::boot_clock::now());
+        if (decision.replaced)
+            closeFor(*decision.replaced);
+        if (!decision.isAdmitted) {
+            ++use.notAdmitted;
             return;
+        }
         error_code ignored;
         socket.set_option(tcp::no_delay(true), ignored);
-        const auto opened = std::make_shared<session>(std::move(socket), shared_from_this());
-        sessions.insert(opened);
+        const auto opened = std::make_shared<session>(std::move(socket), shared_from_this(), number);
+        sessions.emplace(number, opened);
         opened->awaitRequest();
     }
 
+    void hold(connection_number number, std::size_t bytes)
+    {
+        for (const auto& order : budget.hold(number, bytes, Common::boot_clock::now()))
+            closeFor(order);
+    }
+
+    void closeFor(const closing_order& order)
+    {
+        ++(order.reason == closing_reason::HeldBytes ? use.closedForBytes : use.closedForConnections);
+        report.add(order, budget, Common::boot_clock::now());
+        const auto found = sessions.find(order.connection);
+        if (found != sessions.end())
+            std::shared_ptr<session>(found->second)->close();
+    }
+
     void drain()
     {
         isDraining = true;
         acceptWaiting();
         error_code ignored;
         acceptor.close(ignored);
-        for (const auto& open : sessions)
+        for (const auto& [number, open] : sessions)
             open->closeIfIdle();
     }
 
@@ -282,7 +384,7 @@
         lastAnswer = reply;
         drain();
         const auto current = sessions;
-        for (const auto& open : current) {
+        for (const auto& [number, open] : current) {
             if (open->hasOpenRequest && !open->isAnswered)
                 open->respond(reply);
         }
@@ -295,7 +397,7 @@
         drain();
         const auto current = std::move(sessions);
         sessions.clear();
-        for (const auto& open : current)
+        for (const auto& [number, open] : current)
             open->close();
     }
 
@@ -306,7 +408,11 @@
     traffic_meter* meter;
     std::string kind;
     tcp::acceptor acceptor;
-    std::set<std::shared_ptr<session>> sessions;
+    std::map<connection_number, std::shared_ptr<session>> sessions;
+    std::uint64_t lastNumber { 0 };
+    request_budget budget;
+    closing_report report;
+    listener_use use;
     std::size_t openRequests { 0 };
     bool isDraining { false };
     bool isClosed { false };
@@ -341,4 +447,11 @@
 
 std::size_t http_listener::openConnections() const { return m_state->sessions.size(); }
 
+listener_use http_listener::use() const
+{
+    auto current = m_state->use;
+    current.heldBytes = m_state->budget.heldBytes();
+    return current;
+}
+
 }
--- a/Source/Core/EventLoop/HttpListener.h
+++ b/Source/Core/EventLoop/HttpListener.h
@@ -3,6 +3,7 @@
 #include "Common/Clock.h"
 #include "Common/Endpoint.h"
 #include "EventLoop/HttpMessages.h"
+#include "EventLoop/RequestBudget.h"
 
 #include <memory>
 
@@ -19,7 +20,22 @@
     Common::millis requestTimeout { 3000 };
     /// Longest wait for the first byte of a request, and for a response to be written.
     Common::millis idleTimeout { 15000 };
-    std::size_t connections { 3000 };
+    request_budget_limits budget;
+
+    /// Bytes of a request as it is sent, with the framing of a body in chunks of a single byte.
+    std::uint64_t messageBytes() const { return headerBytes + framedBytesPerByte * bodyBytes; }
+
+    static constexpr std::uint64_t framedBytesPerByte = 8;
+};
+
+/// What a listener holds, and the connections that it has ended or not admitted since its start.
+struct listener_use {
+    std::size_t heldBytes { 0 };
+    std::uint64_t closedForBytes { 0 };
+    std::uint64_t closedForConnections { 0 };
+    std::uint64_t notAdmitted { 0 };
+    /// Requests that were malformed or over a limit of a single request.
+    std::uint64_t rejected { 0 };
 };
 
 /// Handles a request; the responder may be called at once or later.
@@ -49,6 +65,7 @@
     /// Number of requests that were read completely and have no response yet.
     std::size_t openRequests() const;
     std::size_t openConnections() const;
+    listener_use use() const;
 
 private:
     struct state;
--- a/Source/UnitTests/Sessions/UntrustedCallersTest.cpp
+++ b/Source/UnitTests/Sessions/UntrustedCallersTest.cpp
@@ -147,6 +147,16 @@
     target.checkSound();
 }
 
+TEST_CASE("An entry instance serves a request of the largest size in chunks of one byte", "[untrusted]")
+{
+    constexpr int largestBody = 262'144;
+    const entry_process target;
+    std::string request = chunkedHead("/jobs/00000000000000a1");
+    for (int index = 0; index < largestBody; ++index)
+        request += chunkOf(1);
+    CHECK(Sessions::statusOf(target.callers, request + "0\r\n\r\n") == 503);
+}
+
 TEST_CASE("A daemon with its own interface bears callers that it can't trust", "[untrusted]")
 {
     // The same in each run: one daemon, and eight clients that send 16 MB each.
