The daemon's own interface bounds what a request holds while it is received

What callers saw: eight clients that sent a chunked body or a header line without end used up the memory of a daemon with its own interface, and a few hundred stalled connections kept others waiting: 600 with 16 threads weren't read within 30 s.

Cause: the library limits bodies with a length only, collects each line of a request until its end, and queues connections without a limit.

Change: bounded_server hands the library a stream that counts the bytes of a request and of all requests (Node/InputMeter decides, without I/O), and fails the read over a limit. Bodies are read up to their limit whatever their form. Connections beyond four that wait for each thread are closed. The large body in chunks of one byte is still served.

--- a/Source/Core/Node/HttpServer.cpp
+++ b/Source/Core/Node/HttpServer.cpp
@@ -1,6 +1,6 @@
 #include "Node/HttpServer.h"
 
-#include <httplib.h>
+#include "Node/BoundedServer.h"
 
 namespace Node {
 
@@ -12,8 +12,20 @@
     constexpr std::time_t idleSeconds = 3;
     constexpr std::size_t maxCallsPerConnection = 1'000'000;
 
-    /// The library's default is 5, and a connection dropped from a full backlog can hang for a minute.
-    constexpr int listenBacklog = 512;
+    constexpr int badRequest = 400;
+    constexpr int payloadTooLarge = 413;
+    /// A body in chunks of a single byte takes six bytes for each.
+    constexpr std::size_t framedBytesPerByte = 8;
+    constexpr std::size_t waitingPerThread = 4;
+
+    bounded_server_options boundsOf(const http_server::options& chosen)
+    {
+        const input_limits defaults;
+        return { .threads = chosen.threads,
+            .waitingConnections = waitingPerThread * chosen.threads,
+            .input = { .messageBytes = defaults.headerBytes + framedBytesPerByte * chosen.maxBodyBytes,
+                .totalBytes = chosen.receivingBytes } };
+    }
 
     http_call toCall(const httplib::Request& request)
     {
@@ -23,27 +35,36 @@
         return call;
     }
 
-    void answerWith(const http_server::handler& handle, const httplib::Request& request, httplib::Response& response)
+    void send(http_answer answer, httplib::Response& response)
     {
-        http_answer answer = handle(toCall(request));
         response.status = answer.status;
         response.set_content(std::move(answer.body), jsonType);
     }
 
-}
+    /// Reads a body; the library doesn't limit the ones in chunks. Null with a status when it wasn't read to its end.
+    std::optional<std::string> readBody(const httplib::ContentReader& read, std::size_t maxBytes, int& status)
+    {
+        std::string body;
+        bool isTooLarge = false;
+        const bool isRead = read([&](const char* bytes, std::size_t size) {
+            isTooLarge = size > maxBytes - body.size();
+            if (!isTooLarge)
+                body.append(bytes, size);
+            return !isTooLarge;
+        });
+        if (isRead)
+            return body;
+        bounded_server::closeAfterAnswer();
+        status = isTooLarge ? payloadTooLarge : status;
+        return std::nullopt;
+    }
 
-/// The library's server with a longer listen backlog.
-class backlog_server final : public httplib::Server {
-public:
-    bool setBacklog() { return ::listen(svr_sock_, listenBacklog) == 0; }
-};
+}
 
 http_server::http_server(const options& chosen)
     : m_options(chosen)
-    , m_server(std::make_unique<backlog_server>())
+    , m_server(std::make_unique<bounded_server>(boundsOf(chosen)))
 {
-    const std::size_t threads = m_options.threads;
-    m_server->new_task_queue = [threads] { return new httplib::ThreadPool(threads); };
     m_server->set_tcp_nodelay(true);
     m_server->set_keep_alive_max_count(maxCallsPerConnection);
     m_server->set_keep_alive_timeout(idleSeconds);
@@ -68,16 +89,30 @@
 
 void http_server::onPost(const std::string& path, handler handle)
 {
-    m_server->Post(path, [handle = std::move(handle)](const httplib::Request& request, httplib::Response& response) {
-        answerWith(handle, request, response);
-    });
+    const auto maxBytes = m_options.maxBodyBytes;
+    m_server->Post(path,
+        [handle = std::move(handle), maxBytes](
+            const httplib::Request& request, httplib::Response& response, const httplib::ContentReader& read) {
+            // The library would need parts to be received one by one.
+            if (request.is_multipart_form_data()) {
+                response.status = badRequest;
+                bounded_server::closeAfterAnswer();
+                return;
+            }
+            auto body = readBody(read, maxBytes, response.status);
+            if (!body)
+                return;
+            http_call call = toCall(request);
+            call.body = std::move(*body);
+            send(handle(call), response);
+        });
 }
 
 void http_server::onGet(const std::string& pathPrefix, handler handle)
 {
     m_server->Get(pathPrefix + "(.*)",
         [handle = std::move(handle)](const httplib::Request& request, httplib::Response& response) {
-            answerWith(handle, request, response);
+            send(handle(toCall(request)), response);
         });
 }
 
--- a/Source/Core/Node/HttpServer.h
+++ b/Source/Core/Node/HttpServer.h
@@ -9,7 +9,7 @@
 
 namespace Node {
 
-class backlog_server;
+class bounded_server;
 
 /// Answer to an HTTP call: a status and a JSON body.
 struct http_answer {
@@ -33,6 +33,8 @@
         Common::endpoint address;
         std::size_t threads { 8 };
         std::size_t maxBodyBytes { 1024 * 1024 };
+        /// Bytes of all requests together that are being received.
+        std::size_t receivingBytes { 16U * 1024 * 1024 };
     };
     using handler = std::function<http_answer(const http_call&)>;
 
@@ -51,7 +53,7 @@
 
 private:
     options m_options;
-    std::unique_ptr<backlog_server> m_server;
+    std::unique_ptr<bounded_server> m_server;
     std::thread m_thread;
 };
 
--- a/Source/UnitTests/Sessions/UntrustedCallersTest.cpp
+++ b/Source/UnitTests/Sessions/UntrustedCallersTest.cpp
@@ -195,5 +195,12 @@
     }
     waitUntil("the daemon is ready", [&] { return target.isReady(0); });
     CHECK(target.callers(0, "/v1/requests", Sessions::submissionOf({ .name = "ordinary" })).status == 200);
-    CHECK(Sessions::useOf(target.daemon(0).id()).isAlive);
+    // The largest body, in chunks of one byte.
+    constexpr std::size_t largestBody = 1024 * 1024;
+    std::string body = Sessions::submissionOf({ .name = "large" });
+    body.resize(largestBody, ' ');
+    std::string request = chunkedHead("/v1/requests");
+    for (const char byte : body)
+        request += std::string("1\r\n") + byte + "\r\n";
+    CHECK(Sessions::statusOf(target.callersPort(0), request + "0\r\n\r\n") == 200);
 }
