Instances read less often where their reads exceed the store's limits

Cause: at the start 300 instances asked for about 8,000 reads a second of 2,000, and repeated refused ones each 150 ms. Then each read all workers' registrations: 79.8 of the 80 MB a second that the store delivers to all. The leader's own registrations were 28 s old, so it started nothing.

Change: an instance whose reads are partly refused for their number multiplies its intervals (read_pacing). The leader and reads of rules keep theirs. A few instances, by a hash, take over at the usual times and read registrations; the others follow only their end while a leader is active, and take over later. The leader stores the stretch for processes that start.

Not solved: each instance still reads all jobs, see docs/design/instance-count.md.

--- a/Source/Core/ControlPlane/EntryNode.cpp
+++ b/Source/Core/ControlPlane/EntryNode.cpp
@@ -56,6 +56,8 @@
     , m_parts(parts)
     , m_timers(std::make_unique<loop_timers>(parts.loop))
     , m_member(settings.node + '-' + std::to_string(Common::wallNow().value))
+    , m_pacing({ .member = m_member, .readsPerSecond = settings.storeReadsPerSecond })
+    , m_store(parts.store, *m_timers, m_pacing)
     , m_intakeFeed(m_jobRegistry, *this)
     , m_progressFeed(m_jobRegistry)
     , m_stateFeed(m_jobRegistry, m_progressFeed)
@@ -69,9 +71,12 @@
 {
     const bool isJobTopic = partition.topic == m_parts.topics.intake.topic || partition == m_parts.topics.progress
         || partition == m_parts.topics.handovers || partition == m_parts.topics.states;
-    return std::make_shared<Records::partition_reader>(m_parts.store, *m_timers,
+    return std::make_shared<Records::partition_reader>(m_store, *m_timers,
         Records::partition_reader_options {
-            .partition = partition, .interval = readInterval, .wait = isJobTopic ? jobReadWait : readWait },
+            .partition = partition, .interval = readInterval, .wait = isJobTopic ? jobReadWait : readWait,
+            // Rules have to be in force in time however many instances read.
+            .pacing = partition == m_parts.topics.operators ? nullptr : &m_pacing,
+            .isForElection = partition == m_parts.topics.progress },
         sink);
 }
 
@@ -89,7 +94,11 @@
     if (!m_leaderSeenAfter && m_leadership->hasSeenLeader())
         m_leaderSeenAfter = waited;
     const auto& claim = m_progressFeed.claim();
-    const job_reading_view view { .own = roomOf(m_settings.capacity),
+    if (m_handovers->isLoaded())
+        m_pacing.begin(m_handoverFeed.stretch(), m_timers->now());
+    // Where many instances read, those that don't take over first leave the store to those that do.
+    const bool isLater = !m_pacing.isFirstCandidate();
+    const job_reading_view view { .own = isLater ? leader_room {} : roomOf(m_settings.capacity),
         .leader = claim.number > 0 ? std::optional(roomOf(claim.capacity)) : std::nullopt,
         .isProgressRead = m_progress->confirmedAt().has_value(),
         .leaderSeenAfter = m_leaderSeenAfter,
@@ -158,7 +167,8 @@
                                                             .workerList = *m_workerList,
                                                             .intake = *m_intake,
                                                             .eventCounters = m_eventCounters,
-                                                            .health = *m_health },
+                                                            .health = *m_health,
+                                                            .pacing = &m_pacing },
         leadership_options { .member = m_member,
             .capacity = m_settings.capacity,
             .progressTopic = m_parts.topics.progress,
@@ -225,6 +235,9 @@
     add("jobs", m_jobRegistry.size());
     add("loop_behind", m_load.isBehind() ? 1 : 0);
     add("loop_last_lag_ms", m_load.lag().count());
+    add("read_stretch", m_pacing.stretch());
+    add("reads_over_limit", m_pacing.refusedReads());
+    add("first_candidate", m_pacing.isFirstCandidate() ? 1 : 0);
     const auto* load = m_leadership ? m_leadership->load() : nullptr;
     add("leading", load ? 1 : 0);
     if (load) {
--- a/Source/Core/ControlPlane/EntryNode.h
+++ b/Source/Core/ControlPlane/EntryNode.h
@@ -85,6 +85,8 @@
     entry_node_parts m_parts;
     std::unique_ptr<loop_timers> m_timers;
     std::string m_member;
+    Records::read_pacing m_pacing;
+    Records::paced_store m_store;
     Jobs::job_registry m_jobRegistry;
     counters m_eventCounters;
     load_monitor m_load;
--- a/Source/Core/ControlPlane/EntryNodeSettings.h
+++ b/Source/Core/ControlPlane/EntryNodeSettings.h
@@ -31,6 +31,8 @@
     Common::millis balancerRemovalTime { 2500 };
     Dispatch::worker_bounds workerBounds;
     Records::store_limits storeLimits;
+    /// Reads that the store takes from all instances together, per second.
+    double storeReadsPerSecond { 2000 };
 };
 
 }
--- a/Source/Core/ControlPlane/JobFeeds.cpp
+++ b/Source/Core/ControlPlane/JobFeeds.cpp
@@ -22,6 +22,7 @@
     constexpr auto claimKey = "@holder";
     constexpr auto releaseKey = "@released";
     constexpr auto handoverKey = "@handover";
+    constexpr auto stretchKey = "@stretch";
     constexpr auto heartbeatKey = "@sign";
     constexpr std::string_view wavePrefix = "@wave/";
 
@@ -37,6 +38,14 @@
         object["megabits"] = capacity.link.value;
     }
 
+    /// 1, the usual intervals, if it can't be read.
+    double readStretch(const std::string& text)
+    {
+        double stretch = 1;
+        std::from_chars(text.data(), text.data() + text.size(), stretch);
+        return std::max(1.0, stretch);
+    }
+
     instance_capacity readCapacity(const Common::json& object)
     {
         const instance_capacity unknown;
@@ -185,6 +194,11 @@
     return { .key = releaseKey, .value = Common::writeJson({ { "number", number }, { "successor", successor } }) };
 }
 
+Records::keyed_record stretchRecord(double stretch)
+{
+    return { .key = stretchKey, .value = std::to_string(stretch) };
+}
+
 Records::keyed_record handoverRecord(const handover_request& request)
 {
     Common::json object { { "member", request.member }, { "claim", request.claim } };
@@ -326,6 +340,10 @@
 
 void handover_feed::apply(const Records::keyed_record& record)
 {
+    if (record.key == stretchKey) {
+        m_stretch = readStretch(record.value);
+        return;
+    }
     if (record.key != handoverKey)
         return;
     auto request = decodeHandover(record.value);
--- a/Source/Core/ControlPlane/JobFeeds.h
+++ b/Source/Core/ControlPlane/JobFeeds.h
@@ -46,6 +46,8 @@
 /// candidates leave leadership to the successor for a limited time, if one is named.
 Records::keyed_record releaseRecord(std::int64_t number, const std::string& successor = {});
 Records::keyed_record handoverRecord(const handover_request&);
+/// How much less often than usual the leader has found that instances should read, for those that start later.
+Records::keyed_record stretchRecord(double stretch);
 Records::keyed_record waveRecord(const Capacity::wave_status&);
 Records::keyed_record stateRecord(const Common::job_id&, Jobs::job_state);
 
@@ -123,8 +125,11 @@
     void apply(const Records::keyed_record&) override;
     /// The newest request, whatever claim it is about.
     const std::optional<handover_request>& request() const { return m_request; }
+    /// The newest stretch of reads that a leader stored; 1 without one.
+    double stretch() const { return m_stretch; }
 
 private:
+    double m_stretch { 1 };
     std::optional<handover_request> m_request;
 };
 
--- a/Source/Core/ControlPlane/LeaderElection.cpp
+++ b/Source/Core/ControlPlane/LeaderElection.cpp
@@ -95,10 +95,17 @@
             { { "reason", toText(m_obstacle) }, { "number", std::to_string(m_feed.claim().number + 1) } });
 }
 
+Common::millis leader_election::patient(Common::millis time) const
+{
+    if (!m_options.pacing)
+        return time;
+    return Common::millis(static_cast<std::int64_t>(static_cast<double>(time.count()) * m_options.pacing->patience()));
+}
+
 Common::millis leader_election::vacancyTime() const
 {
     if (!isVacant())
-        return leaderTimeout;
+        return patient(leaderTimeout);
     return m_feed.successor().empty() || isNamedSuccessor() ? Common::millis(0) : successorWait;
 }
 
@@ -143,7 +150,7 @@
 
 bool leader_election::isLeaderActive() const
 {
-    return m_state == election_state::Standby && !isVacant() && m_timers.now() - m_quietSince < probeDelay;
+    return m_state == election_state::Standby && !isVacant() && m_timers.now() - m_quietSince < patient(probeDelay);
 }
 
 void leader_election::noteRecords(Common::instant now)
@@ -151,7 +158,7 @@
     if (!m_progress.isLoaded()) {
         const auto confirmed = m_progress.confirmedAt();
         // Silence counts only while the store answers.
-        if (confirmed && now - *confirmed > unansweredTime) {
+        if (confirmed && now - *confirmed > patient(unansweredTime)) {
             m_quietSince = now;
             return;
         }
@@ -170,7 +177,8 @@
 
 void leader_election::chooseFollowing(Common::instant now)
 {
-    const bool isSuspect = isVacant() || now - m_quietSince >= suspicionTime;
+    const bool isFirst = !m_options.pacing || m_options.pacing->isFirstCandidate();
+    const bool isSuspect = (isFirst && isVacant()) || now - m_quietSince >= patient(suspicionTime);
     if (isSuspect || !m_feed.claim().publishesStates) {
         m_hasLeaderStored = false;
         m_progress.setFollowing(Records::partition_following::Records);
@@ -194,7 +202,7 @@
     const auto quiet = now - m_quietSince;
     if (isClaimDue(now))
         claim();
-    else if (!m_isProbed && !m_isProbing && quiet >= probeDelay)
+    else if (!m_isProbed && !m_isProbing && quiet >= patient(probeDelay))
         probe();
 }
 
--- a/Source/Core/ControlPlane/LeaderElection.h
+++ b/Source/Core/ControlPlane/LeaderElection.h
@@ -15,6 +15,8 @@
     Records::topic_partition progressTopic;
     /// Writer name that all leaders use.
     std::string writer;
+    /// Null for the usual times.
+    const Records::read_pacing* pacing { nullptr };
 };
 
 /// Why a candidate can't start a term yet.
@@ -73,6 +75,8 @@
     /// has stored is read when it falls silent, before its leadership counts as vacant.
     void chooseFollowing(Common::instant now);
     bool isVacant() const;
+    /// A time of the election, longer on an instance that doesn't take over first.
+    Common::millis patient(Common::millis) const;
     bool isClaimDue(Common::instant now);
     /// Time without records of the leader after which leadership may be claimed.
     Common::millis vacancyTime() const;
--- a/Source/Core/ControlPlane/LeadershipManager.cpp
+++ b/Source/Core/ControlPlane/LeadershipManager.cpp
@@ -24,6 +24,11 @@
     /// A leader that can't hand over yet tries again for this long after a request. Longer than the instance manager
     /// takes to answer an order.
     constexpr Common::millis handoverRequestLifetime { 2000 };
+    /// Time without an active leader after which all instances read the workers. Reading them anew takes more of the
+    /// store than following them, so a short silence isn't enough.
+    constexpr Common::millis workerReadingDelay { 3000 };
+    /// The stretch of reads is stored again when it has grown by this factor, or is 1 again.
+    constexpr double stretchStep = 1.5;
     constexpr auto leaderWriter = "holder";
 
 }
@@ -35,7 +40,8 @@
           election_options { .member = options.member,
               .capacity = options.capacity,
               .progressTopic = options.progressTopic,
-              .writer = leaderWriter },
+              .writer = leaderWriter,
+              .pacing = parts.pacing },
           parts.progress, parts.progressFeed))
     , m_handoverCandidate(options.member)
 {
@@ -50,6 +56,7 @@
 
 void leadership_manager::start()
 {
+    m_leaderActiveAt = m_parts.timers.now();
     m_election->start([this](const won_election& won) { onElected(won); }, [this] { return findObstacle(); });
     watchHandovers();
 }
@@ -81,7 +88,7 @@
 
 void leadership_manager::onElected(const won_election& won)
 {
-    m_parts.intake.setInterval(leaderIntakeInterval);
+    setLeading(true);
     m_termBegan = m_parts.timers.now();
     m_term = std::make_shared<leader_term>(leader_term_parts { .store = m_parts.store,
                                                .timers = m_parts.timers,
@@ -145,7 +152,7 @@
     const auto term = std::exchange(m_term, nullptr);
     if (term)
         term->stop();
-    m_parts.intake.setInterval(standbyIntakeInterval);
+    setLeading(false);
     m_election->returnToStandby();
 }
 
@@ -160,7 +167,7 @@
     endRelease();
     m_releasing = term;
     term->stopOrders();
-    m_parts.intake.setInterval(standbyIntakeInterval);
+    setLeading(false);
     m_election->returnToStandby();
     release(term, successor, m_parts.timers.now() + openOrdersTimeout);
 }
@@ -197,8 +204,45 @@
     m_parts.store.append(copy, releaseTimeout, [](const auto&) {});
 }
 
+void leadership_manager::setLeading(bool isLeading)
+{
+    if (m_parts.pacing)
+        m_parts.pacing->setLeading(isLeading);
+    m_parts.intake.setInterval(isLeading ? leaderIntakeInterval : standbyIntakeInterval);
+}
+
+void leadership_manager::chooseWorkerReading()
+{
+    if (!m_parts.pacing)
+        return;
+    const auto now = m_parts.timers.now();
+    if (m_election->isLeaderActive())
+        m_leaderActiveAt = now;
+    const bool isFirst = m_term || m_parts.pacing->isFirstCandidate();
+    const bool hasLeader = now - m_leaderActiveAt < workerReadingDelay;
+    if (isFirst || !hasLeader)
+        m_parts.workerList.setFollowing(Records::partition_following::Records);
+    else if (m_parts.workerList.isEndKnown())
+        m_parts.workerList.setFollowing(Records::partition_following::End);
+}
+
+void leadership_manager::publishStretch()
+{
+    if (!m_parts.pacing || !m_term)
+        return;
+    const auto stretch = m_parts.pacing->measuredStretch();
+    const auto stored = std::max(m_parts.handoverFeed.stretch(), m_publishedStretch);
+    if (stretch < stored * stretchStep && (stretch > 1 || stored <= 1))
+        return;
+    m_publishedStretch = stretch;
+    const Records::append_request request { .partition = m_options.handoverTopic, .records = { stretchRecord(stretch) } };
+    m_parts.store.append(request, handoverRequestTimeout, [](const auto&) {});
+}
+
 void leadership_manager::watchHandovers()
 {
+    chooseWorkerReading();
+    publishStretch();
     if (m_term)
         considerHandingOver();
     else
--- a/Source/Core/ControlPlane/LeadershipManager.h
+++ b/Source/Core/ControlPlane/LeadershipManager.h
@@ -23,6 +23,8 @@
     Records::partition_reader_group& intake;
     counters& eventCounters;
     const leader_health& health;
+    /// Null for the usual times.
+    Records::read_pacing* pacing { nullptr };
 };
 
 struct leadership_options {
@@ -89,6 +91,11 @@
     void endRelease();
     void copyRelease(std::int64_t number, const std::string& successor);
     void watchHandovers();
+    /// Where many instances read, those that don't take over first don't read the workers while a leader is active.
+    void chooseWorkerReading();
+    /// Stores how much less often instances should read, for those that start later.
+    void publishStretch();
+    void setLeading(bool);
     void considerRequestingHandover();
     void sendHandoverRequest(std::int64_t claim);
     void considerHandingOver();
@@ -106,6 +113,8 @@
     /// A term whose release is under way.
     std::shared_ptr<leader_term> m_releasing;
     Common::instant m_termBegan;
+    Common::instant m_leaderActiveAt;
+    double m_publishedStretch { 1 };
     handover_candidate m_handoverCandidate;
     /// The newest request to this leader, when it was read, and whether it was answered.
     std::optional<Common::log_offset> m_request;
--- a/Source/Core/Records/PartitionReader.cpp
+++ b/Source/Core/Records/PartitionReader.cpp
@@ -87,11 +87,12 @@
 void partition_reader::onPage(const newest_result& page, Common::instant began)
 {
     m_isPageOpen = false;
+    m_refusals = page.isOverLimit ? m_refusals + 1 : 0;
     if (!page.isRead) {
         m_mayRequestAgain = true;
         if (Common::elapsed(began, m_timers.now()) >= m_pageTimeout)
             m_pageTimeout = std::min(m_pageTimeout * adaptationFactor, m_options.maxPageTimeout);
-        m_timers.after(retryDelay, [self = shared_from_this(), loop = m_loop] {
+        m_timers.after(pacedRetryDelay(), [self = shared_from_this(), loop = m_loop] {
             if (self->m_loop == loop)
                 self->readPage();
         });
@@ -143,6 +144,8 @@
         return;
     m_following = following;
     m_isLoaded = false;
+    if (following == partition_following::End && m_newestEnd)
+        m_next = std::max(m_next, *m_newestEnd);
     m_storedAhead.clear();
     m_isDelayed = false;
     m_isPageOpen = false;
@@ -173,7 +176,7 @@
         m_next = std::max(m_next, result.end);
         m_confirmedAt = began;
     }
-    m_timers.after(m_options.interval, [self = shared_from_this(), loop = m_loop] {
+    m_timers.after(pacedInterval(), [self = shared_from_this(), loop = m_loop] {
         if (self->m_loop == loop)
             self->readEnd();
     });
@@ -188,6 +191,7 @@
         return;
     }
     adaptLimit(result, began);
+    m_refusals = result.isOverLimit ? m_refusals + 1 : 0;
     if (result.outcome != read_outcome::Read) {
         if (isLoop)
             retryLater();
@@ -232,7 +236,7 @@
 void partition_reader::delayNextRead()
 {
     m_isDelayed = true;
-    m_timers.after(m_options.interval, [self = shared_from_this(), number = ++m_delays] {
+    m_timers.after(pacedInterval(), [self = shared_from_this(), number = ++m_delays] {
         if (self->m_isDelayed && self->m_delays == number) {
             self->m_isDelayed = false;
             self->readNext();
@@ -298,9 +302,22 @@
     }
 }
 
+Common::millis partition_reader::pacedInterval() const
+{
+    if (!m_options.pacing)
+        return m_options.interval;
+    const auto factor = m_options.isForElection ? m_options.pacing->patience() : m_options.pacing->stretch();
+    return Common::millis(static_cast<std::int64_t>(static_cast<double>(m_options.interval.count()) * factor));
+}
+
+Common::millis partition_reader::pacedRetryDelay() const
+{
+    return m_options.pacing ? m_options.pacing->retryDelay(retryDelay, m_refusals) : retryDelay;
+}
+
 void partition_reader::retryLater()
 {
-    m_timers.after(retryDelay, [self = shared_from_this(), loop = m_loop] {
+    m_timers.after(pacedRetryDelay(), [self = shared_from_this(), loop = m_loop] {
         if (self->m_loop == loop)
             self->readNext();
     });
--- a/Source/Core/Records/PartitionReader.h
+++ b/Source/Core/Records/PartitionReader.h
@@ -1,6 +1,6 @@
 #pragma once
 
-#include "Records/RecordStore.h"
+#include "Records/ReadPacing.h"
 
 #include <map>
 #include <memory>
@@ -41,6 +41,10 @@
     std::size_t maxBytes { 1024 * 1024 };
     /// Longest timeout of a page of newest records, whose size can't be limited.
     Common::millis maxPageTimeout { 6000 };
+    /// Null for the usual intervals.
+    const read_pacing* pacing { nullptr };
+    /// Leader election depends on the reads.
+    bool isForElection { false };
 };
 
 /// Reads one partition: first the newest record of each key, then record by record. Starts over with the newest records
@@ -69,6 +73,8 @@
     Common::log_offset next() const { return m_next; }
     /// Whether the newest record of each key has been applied.
     bool isLoaded() const { return m_isLoaded; }
+    /// Whether the end of the partition has been read, so that it can be followed from there.
+    bool isEndKnown() const { return m_isLoaded || m_newestEnd; }
 
 private:
     struct barrier {
@@ -96,6 +102,9 @@
     void confirm(Common::instant began);
     void delayNextRead();
     void retryLater();
+    /// The interval, longer where many instances read.
+    Common::millis pacedInterval() const;
+    Common::millis pacedRetryDelay() const;
     void readForBarriers();
 
     record_store& m_store;
@@ -127,6 +136,8 @@
     /// Counts the delays, so that the timer of one that was cut short has no effect.
     std::uint64_t m_delays { 0 };
     bool m_isBarrierReadOpen { false };
+    /// Reads in a row that were refused for their number.
+    int m_refusals { 0 };
     std::optional<Common::instant> m_confirmedAt;
     std::vector<std::shared_ptr<barrier>> m_barriers;
 };
--- a/Source/Core/Records/RecordStore.h
+++ b/Source/Core/Records/RecordStore.h
@@ -103,6 +103,8 @@
     Common::log_offset end;
     /// Offset after the last record of this answer, malformed records included.
     Common::log_offset next;
+    /// Refused because all instances together read too often.
+    bool isOverLimit { false };
 };
 
 struct newest_result {
@@ -110,6 +112,8 @@
     std::vector<keyed_record> records;
     bool hasMore { false };
     Common::log_offset end;
+    /// As in read_result.
+    bool isOverLimit { false };
 };
 
 class record_store {
