--- a/Source/UnitTests/Core/Dispatch/PlanReferenceTest.cpp
+++ b/Source/UnitTests/Core/Dispatch/PlanReferenceTest.cpp
@@ -1,12 +1,10 @@
 #include "DispatcherFixture.h"
 
 #include <catch2/catch.hpp>
-#include <cmath>
 #include <random>
 #include <tuple>
 
 namespace {
-
 using Dispatch::open_job;
 using Dispatch::worker_state;
 
@@ -14,7 +12,6 @@
     Jobs::task_name task;
     Common::worker_id worker;
     Dispatch::run_number run;
-
     friend auto operator<=>(const expected_placement&, const expected_placement&) = default;
 };
 
@@ -69,19 +66,17 @@
                 continue;
             const bool isLate = isTooLate(*job, wall);
             demand.shortJobs += job->hasLongRunningTasks() ? 0 : 1;
+            int& spread = demand.workersForSpread;
             const auto& occurrence = job->occurrences().at(0);
             for (std::size_t step = 0; step < occurrence.steps.size(); ++step) {
                 const auto& spec = job->record().spec.steps[step];
                 const auto& state = occurrence.steps[step];
                 if (spec.isBestEffort)
                     continue;
-                if (!isLate && spec.maxPerWorker > 0 && job->isReady(occurrence, static_cast<int>(step))) {
-                    const auto unfinished = static_cast<double>(static_cast<int>(state.tasks.size()) - state.done);
-                    demand.workersForSpread = std::max(
-                        demand.workersForSpread, static_cast<int>(std::ceil(unfinished / spec.maxPerWorker)));
-                }
                 const auto open = static_cast<std::int64_t>(state.tasks.size()) - state.done - state.placed;
                 const bool isReady = job->isReady(occurrence, static_cast<int>(step));
+                if (!isLate && isReady && spec.maxPerWorker > 0)
+                    spread = std::max(spread, (spec.count - state.done + spec.maxPerWorker - 1) / spec.maxPerWorker);
                 (isLate ? demand.late : isReady ? demand.waiting
                                                 : demand.blocked)
                     += Jobs::times(spec.request, open);
