--- a/Source/Core/Capacity/PoolSizer.cpp
+++ b/Source/Core/Capacity/PoolSizer.cpp
@@ -176,8 +176,8 @@
     auto pools = survey(rules, instances, dispatcher, when);
     for (const auto& [id, pool] : pools) {
         if (pool.demand.shortJobs > 0)
-            m_asked.insert(id);
-        if (pool.isSpare || pool.present <= pool.wanted || isUnasked(id, when.now))
+            m_withDemand.insert(id);
+        if (pool.isSpare || pool.present <= pool.wanted || isDemandUnknown(id, when.now))
             m_surplusSince.erase(id);
         else
             m_surplusSince.emplace(id, when.now);
@@ -188,9 +188,9 @@
     drainBusy(pools, dispatcher);
 }
 
-bool pool_sizer::isUnasked(const Common::pool_id& pool, Common::instant now) const
+bool pool_sizer::isDemandUnknown(const Common::pool_id& pool, Common::instant now) const
 {
-    return !m_asked.contains(pool) && now - *m_firstPlanAt < m_options.unaskedHold;
+    return !m_withDemand.contains(pool) && now - *m_firstPlanAt < m_options.unknownDemandHold;
 }
 
 void pool_sizer::uncordonIdle(instance_registry& instances, Dispatch::dispatcher& dispatcher)
--- a/Source/Core/Capacity/PoolSizer.h
+++ b/Source/Core/Capacity/PoolSizer.h
@@ -28,7 +28,7 @@
     /// Share of the demand of steps with unmet dependencies that counts as demand.
     double blockedShare { 0.25 };
     /// Until a pool was first asked for work that ends, it keeps its instances for at most this time after the leader began.
-    Common::millis unaskedHold { 30'000 };
+    Common::millis unknownDemandHold { 30'000 };
     forecast_options forecast;
 };
 
@@ -83,7 +83,7 @@
     /// Sets how many instances the pool needs for jobs that can be on time.
     void estimateNeed(const Common::pool_id&, pool_state&, const Jobs::resources& each, Common::instant now);
     /// Whether nothing is known of how much the pool will be asked for.
-    bool isUnasked(const Common::pool_id&, Common::instant now) const;
+    bool isDemandUnknown(const Common::pool_id&, Common::instant now) const;
     /// Measures how long moves take.
     void noteArrival(const instance_record&, const Dispatch::worker_state*, Common::instant now);
     /// Sets `wanted` of each pool.
@@ -103,7 +103,7 @@
     std::map<Common::instance_id, Common::instant> m_underWay;
     std::vector<pool_survey> m_lastSurvey;
     /// Pools that were asked for work that ends.
-    std::set<Common::pool_id> m_asked;
+    std::set<Common::pool_id> m_withDemand;
     std::optional<Common::instant> m_firstPlanAt;
     /// When each pool's present surplus began.
     std::map<Common::pool_id, Common::instant> m_surplusSince;
--- a/Source/UnitTests/Core/Capacity/CapacityTest.cpp
+++ b/Source/UnitTests/Core/Capacity/CapacityTest.cpp
@@ -93,7 +93,7 @@
 
     std::vector<Capacity::instance_entry> instances;
     Capacity::capacity_planner planner { Capacity::sizer_options {
-        .headroom = 0, .reserve = 0, .unaskedHold = Common::millis(0) } };
+        .headroom = 0, .reserve = 0, .unknownDemandHold = Common::millis(0) } };
 };
 
 Jobs::step_spec longRunningStep(int count, int budget)
@@ -259,7 +259,7 @@
 TEST_CASE("Before the first job nothing is known of what a pool will be asked for", "[capacity]")
 {
     capacity_fixture f;
-    f.planner = Capacity::capacity_planner { { .headroom = 0, .reserve = 0, .unaskedHold = std::chrono::seconds(30) } };
+    f.planner = Capacity::capacity_planner { { .headroom = 0, .reserve = 0, .unknownDemandHold = std::chrono::seconds(30) } };
     f.planner.setRules(f.rules);
     for (const auto* id : { "1", "2", "3" })
         f.addInstance(id, "pool");
