--- a/review/standin-3/Deployment.h
+++ b/review/standin-3/Deployment.h
@@ -21,6 +21,7 @@
 
     /// Waits until all daemons are ready and every worker was asked for its runs; false if that takes too long.
     bool waitUntilReady();
+    bool isReady(int daemon);
     void note(const std::string& line);
 
     struct http_answer {
@@ -41,8 +42,8 @@
     /// It starts again at its address, under its id.
     void startWorker(const std::string& worker);
     void killDaemon(int daemon);
-    /// SIGKILL to all daemons; they are back after `down`.
-    void killAllDaemons(std::chrono::milliseconds down);
+    /// SIGTERM to one daemon after the other; each is started again when it has ended, and the next waits until it is ready.
+    bool restartInTurn(std::chrono::milliseconds gap);
     void startDaemon(int daemon);
 
     struct started_run {
