--- a/review/standin-3/Deployment.h
+++ b/review/standin-3/Deployment.h
@@ -28,9 +28,11 @@
         int status { 0 };
         std::string body;
     };
-    /// The two queues have a service in common.
+    /// Queues of the service "desk", which has two thirds of the workers.
     static constexpr auto firstQueue = "/desk/";
     static constexpr auto secondQueue = "/other/";
+    /// Queue of the service "yard", which has the others.
+    static constexpr auto yardQueue = "/yard/";
     /// Calls the job API; `daemon` counts from 0.
     http_answer call(int daemon, const std::string& method, const std::string& id, const std::string& body = {},
         const std::string& prefix = firstQueue);
@@ -42,6 +44,10 @@
     /// It starts again at its address, under its id.
     void startWorker(const std::string& worker);
     void killDaemon(int daemon);
+    /// SIGTERM to all daemons; returns when they have ended.
+    void stopDaemons();
+    void startDaemons();
+    store_standin& store() { return m_store; }
     /// SIGTERM to one daemon after the other; each is started again when it has ended, and the next waits until it is ready.
     bool restartInTurn(std::chrono::milliseconds gap);
     void startDaemon(int daemon);
@@ -66,12 +72,15 @@
     std::optional<started_run> waitForStart(const std::string& task, std::int64_t after, std::chrono::milliseconds limit);
     /// Runs that have begun, haven't ended, and whose worker hasn't crashed since.
     std::vector<started_run> running(const std::string& job);
-    int workersUp();
+    int deskWorkersUp();
+    /// How often the platform has killed each daemon because it exceeded its memory.
+    std::vector<int> memoryKills();
 
 private:
     struct worker_process {
         std::string id;
         std::string machine;
+        std::string service;
         std::string rack;
         int port { 0 };
         pid_t pid { 0 };
@@ -85,6 +94,9 @@
         int front { 0 };
         int ready { 0 };
         pid_t pid { 0 };
+        int memoryKills { 0 };
+        /// When the platform starts it again after such a kill.
+        std::optional<std::chrono::steady_clock::time_point> restartsAt;
     };
     struct gang_state {
         std::set<std::string> present;
@@ -98,6 +110,8 @@
     void serveMachines();
     void writeSettings();
     void watchRegistrations();
+    /// The platform kills a daemon that exceeds its memory, and starts it again.
+    void watchMemory();
     std::string describe(const worker_process&) const;
     worker_process& find(const std::string& id);
     pid_t spawn(const std::vector<std::string>& arguments, const std::string& settings, const std::string& output);
@@ -116,6 +130,7 @@
     std::thread m_driverThread;
     std::thread m_machineThread;
     std::thread m_watchThread;
+    std::thread m_memoryThread;
     std::atomic<bool> m_isStopping { false };
     std::vector<worker_process> m_workers;
     std::vector<daemon_process> m_daemons;
--- a/review/standin-3/Store.cpp
+++ b/review/standin-3/Store.cpp
@@ -1,5 +1,6 @@
 #include "Store.h"
 
+#include <array>
 #include <nlohmann/json.hpp>
 #include <sodium.h>
 
@@ -87,6 +88,34 @@
     m_changed.notify_all();
 }
 
+std::size_t store_standin::multiplyJobs(const std::vector<std::string>& ids, int count)
+{
+    const std::lock_guard lock(m_lock);
+    std::size_t bytes = 0;
+    for (auto& [name, where] : m_partitions) {
+        std::vector<std::pair<std::string, record>> found;
+        for (const auto& id : ids) {
+            const auto known = where.newest.find(id);
+            if (known != where.newest.end())
+                found.emplace_back(id, where.records[static_cast<std::size_t>(known->second)]);
+        }
+        for (int copy = 0; copy < count / static_cast<int>(ids.size()); ++copy) {
+            for (const auto& [id, original] : found) {
+                std::array<char, 17> text {};
+                std::snprintf(text.data(), text.size(), "%08x%s", 0x10000000U + static_cast<unsigned>(copy), id.substr(8).c_str());
+                auto value = original.value;
+                for (auto at = value.find(id); at != std::string::npos; at = value.find(id, at + id.size()))
+                    value.replace(at, id.size(), text.data());
+                add(where, { text.data(), std::move(value) });
+            }
+        }
+        for (const auto& [key, offset] : where.newest)
+            bytes += key.size() + where.records[static_cast<std::size_t>(offset)].value.size() + 5;
+    }
+    m_changed.notify_all();
+    return bytes;
+}
+
 store_standin::partition& store_standin::partitionOf(const httplib::Request& request)
 {
     return m_partitions[request.get_param_value("topic") + "/" + request.get_param_value("part")];
--- a/review/standin-3/Store.h
+++ b/review/standin-3/Store.h
@@ -18,6 +18,9 @@
     void stop();
     /// What the operator and the workers write.
     void put(const std::string& topic, const std::string& key, const std::string& value);
+    /// Adds records as they stand after `count` further jobs: those of the jobs `ids`, again and again under ids of their own.
+    /// Returns the bytes of all newest records then.
+    std::size_t multiplyJobs(const std::vector<std::string>& ids, int count);
 
 private:
     struct record {
