--- a/Source/Core/Common/Ids.h
+++ b/Source/Core/Common/Ids.h
@@ -22,7 +22,9 @@
 using shard_id = text_id<struct shard_tag>;
 /// Identifier of one attempt to run a request on a worker.
 using task_id = text_id<struct task_tag>;
-/// Identifier that the caller gives its job.
+/// Identifier that a caller gives its job. Callers of other queues and teams may give theirs the same one.
+using caller_job_id = text_id<struct caller_job_tag>;
+/// Identifier of a job within the system; see Jobs/JobNames.h.
 using job_id = text_id<struct job_tag>;
 /// One incarnation of a worker's process.
 using worker_id = text_id<struct worker_tag>;
--- a/Source/Core/ControlPlane/DispatchLog.cpp
+++ b/Source/Core/ControlPlane/DispatchLog.cpp
@@ -138,6 +138,8 @@
         return "job_postponed";
     case JobResumed:
         return "job_resumed";
+    case LaneRaised:
+        return "run_numbers_raised";
     case CrashingTaskGivenUp:
         return "crashing_task_given_up";
     case WorkerSuspected:
--- a/Source/Core/ControlPlane/JobApi.cpp
+++ b/Source/Core/ControlPlane/JobApi.cpp
@@ -119,15 +119,14 @@
     }
 }
 
-bool job_api::mayAccess(const Entry::api_call& call) const
+const Jobs::job_record* job_api::find(const Entry::api_call& call) const
 {
-    const auto* job = m_parts.jobRegistry.find(call.job);
-    return job && scopeOf(call).covers(*job->record);
+    return m_parts.jobRegistry.find(call.job, scopeOf(call));
 }
 
 void job_api::submit(const Entry::api_call& call, const http_request& request, const responder& respond)
 {
-    if (mayAccess(call)) {
+    if (find(call)) {
         respond({ .status = 200, .body = "{}" });
         return;
     }
@@ -136,7 +135,7 @@
         refuse(respond, 400, "bad_job", call.job.value);
         return;
     }
-    Jobs::job_record job { .id = call.job,
+    Jobs::job_record job { .id = Jobs::jobIdOf(call.job, scopeOf(call)),
         .queue = call.queue.id,
         .team = call.team,
         .acceptedAt = Common::wallNow(),
@@ -146,7 +145,7 @@
         refuse(respond, 400, "job_too_large", call.job.value);
         return;
     }
-    m_parts.appender.add({ std::move(record) }, [this, job, respond](Records::append_outcome outcome) {
+    m_parts.appender.add({ std::move(record) }, [this, job, call, respond](Records::append_outcome outcome) {
         if (outcome == Records::append_outcome::Stored) {
             if (m_parts.jobRegistry.accept(job))
                 m_parts.listener.jobAccepted(job.id);
@@ -154,20 +153,20 @@
                 { { "job", job.id.value }, { "queue", job.queue.value }, { "team", job.team.value } });
             respond({ .status = 200, .body = "{}" });
         } else {
-            refuseUnstored(respond, outcome, job.id);
+            refuseUnstored(respond, outcome, call.job);
         }
     });
 }
 
 void job_api::cancel(const Entry::api_call& call, const responder& respond)
 {
-    if (mayAccess(call)) {
-        storeCancel(call, respond);
+    if (const auto* job = find(call)) {
+        storeCancel(*job, respond);
         return;
     }
     m_parts.intake.refresh(refreshTimeout, [this, call, respond](bool isConfirmed) {
-        if (mayAccess(call))
-            storeCancel(call, respond);
+        if (const auto* job = find(call))
+            storeCancel(*job, respond);
         else if (isConfirmed)
             cancelUnknown(call, respond);
         else
@@ -178,7 +177,7 @@
 void job_api::cancelUnknown(const Entry::api_call& call, const responder& respond)
 {
     const auto scope = scopeOf(call);
-    if (m_parts.jobRegistry.find(call.job) || m_parts.jobRegistry.awaitsJob(call.job, scope)) {
+    if (m_parts.jobRegistry.awaitsJob(call.job, scope)) {
         refuse(respond, 410, "no_such_job", call.job.value);
         return;
     }
@@ -187,49 +186,51 @@
             refuseUnstored(respond, outcome, call.job);
             return;
         }
-        if (m_parts.jobRegistry.cancel(call.job, scope))
-            m_parts.listener.jobCancelled(call.job);
+        if (const auto job = m_parts.jobRegistry.cancel(call.job, scope))
+            m_parts.listener.jobCancelled(*job);
         Common::writeEvent(Common::log_level::Info, Common::log_category::Jobs, "cancelled_before_known",
             { { "job", call.job.value }, { "queue", scope.queue.value }, { "team", scope.team.value } });
-        if (mayAccess(call))
-            respond({ .status = 200, .body = m_parts.format.writeState(*m_parts.jobRegistry.stateOf(call.job)) });
+        if (const auto* job = find(call))
+            respond({ .status = 200, .body = m_parts.format.writeState(*m_parts.jobRegistry.stateOf(job->id)) });
         else
             refuse(respond, 410, "no_such_job", call.job.value);
     });
 }
 
-void job_api::storeCancel(const Entry::api_call& call, const responder& respond)
+void job_api::storeCancel(const Jobs::job_record& job, const responder& respond)
 {
-    const auto state = m_parts.jobRegistry.stateOf(call.job);
+    const auto state = m_parts.jobRegistry.stateOf(job.id);
     if (state && Jobs::isFinal(*state)) {
         respond({ .status = 200, .body = m_parts.format.writeState(*state) });
         return;
     }
-    m_parts.appender.add({ cancelRecord(call.job) }, [this, call, respond](Records::append_outcome outcome) {
+    const auto callerId = Jobs::callerIdOf(job.id);
+    auto record = cancelRecord(callerId, Jobs::scopeOf(job));
+    m_parts.appender.add({ std::move(record) }, [this, id = job.id, callerId, respond](Records::append_outcome outcome) {
         if (outcome == Records::append_outcome::Stored) {
-            if (m_parts.jobRegistry.cancel(call.job))
-                m_parts.listener.jobCancelled(call.job);
-            Common::writeEvent(Common::log_level::Info, Common::log_category::Jobs, "cancelled",
-                { { "job", call.job.value } });
+            if (m_parts.jobRegistry.cancel(id))
+                m_parts.listener.jobCancelled(id);
+            Common::writeEvent(
+                Common::log_level::Info, Common::log_category::Jobs, "cancelled", { { "job", id.value } });
             respond({ .status = 200, .body = m_parts.format.writeState(Jobs::job_state::Cancelled) });
         } else {
-            refuseUnstored(respond, outcome, call.job);
+            refuseUnstored(respond, outcome, callerId);
         }
     });
 }
 
 void job_api::sendState(const Entry::api_call& call, const responder& respond)
 {
-    const auto send = [this, call, respond] {
-        respond({ .status = 200, .body = m_parts.format.writeState(*m_parts.jobRegistry.stateOf(call.job)) });
+    const auto send = [this, respond](const Jobs::job_record& job) {
+        respond({ .status = 200, .body = m_parts.format.writeState(*m_parts.jobRegistry.stateOf(job.id)) });
     };
-    if (mayAccess(call)) {
-        send();
+    if (const auto* job = find(call)) {
+        send(*job);
         return;
     }
     m_parts.intake.refresh(refreshTimeout, [this, call, respond, send](bool isConfirmed) {
-        if (mayAccess(call))
-            send();
+        if (const auto* job = find(call))
+            send(*job);
         else if (isConfirmed)
             refuse(respond, 410, "no_such_job", call.job.value);
         else
@@ -238,7 +239,7 @@
 }
 
 void job_api::refuseUnstored(
-    const responder& respond, Records::append_outcome outcome, const Common::job_id& job) const
+    const responder& respond, Records::append_outcome outcome, const Common::caller_job_id& job) const
 {
     if (outcome == Records::append_outcome::Refused)
         refuse(respond, 503, "not_stored", job.value);
--- a/Source/Core/ControlPlane/JobApi.h
+++ b/Source/Core/ControlPlane/JobApi.h
@@ -66,10 +66,11 @@
     /// The job may be stored yet by an append without an answer, so its cancellation is stored too.
     void cancelUnknown(const Entry::api_call&, const EventLoop::responder&);
     void sendState(const Entry::api_call&, const EventLoop::responder&);
-    void storeCancel(const Entry::api_call&, const EventLoop::responder&);
-    bool mayAccess(const Entry::api_call&) const;
+    void storeCancel(const Jobs::job_record&, const EventLoop::responder&);
+    /// The job that the call names; null when it isn't known.
+    const Jobs::job_record* find(const Entry::api_call&) const;
     /// Answers a call whose record may be missing from the store.
-    void refuseUnstored(const EventLoop::responder&, Records::append_outcome, const Common::job_id&) const;
+    void refuseUnstored(const EventLoop::responder&, Records::append_outcome, const Common::caller_job_id&) const;
     void refuse(const EventLoop::responder&, int status, const char* reason, const std::string& job) const;
 
     job_api_parts m_parts;
--- a/Source/Core/ControlPlane/JobFeeds.cpp
+++ b/Source/Core/ControlPlane/JobFeeds.cpp
@@ -75,9 +75,11 @@
         });
     }
 
-    std::string progressKey(const Common::job_id& job, int part)
+    std::string progressKey(const Jobs::job_progress& progress, int part)
     {
-        return part == 0 ? job.value : job.value + partSeparator + std::to_string(part);
+        const auto& job = progress.job;
+        auto key = Jobs::usesCallerKey(progress) ? Jobs::callerIdOf(job).value : job.value;
+        return part == 0 ? key : key + partSeparator + std::to_string(part);
     }
 
     struct progress_key {
@@ -158,9 +160,7 @@
     return { .key = job.id.value, .value = Jobs::encodeJob(job) };
 }
 
-Records::keyed_record cancelRecord(const Common::job_id& id) { return { .key = cancelPrefix + id.value, .value = "1" }; }
-
-Records::keyed_record cancelRecord(const Common::job_id& id, const Jobs::caller_scope& scope)
+Records::keyed_record cancelRecord(const Common::caller_job_id& id, const Jobs::caller_scope& scope)
 {
     auto value = Common::writeJson({ { "queue", scope.queue }, { "team", scope.team } });
     // Each scope has a key of its own, because only the newest record of a key outlasts the history.
@@ -170,10 +170,13 @@
 
 Records::keyed_record progressRecord(const Jobs::job_progress& progress, int part)
 {
-    return { .key = progressKey(progress.job, part), .value = Jobs::encodeProgress(progress) };
+    return { .key = progressKey(progress, part), .value = Jobs::encodeProgress(progress) };
 }
 
-Records::keyed_record progressRemoval(const Common::job_id& job, int part) { return { .key = progressKey(job, part) }; }
+Records::keyed_record progressRemoval(const Jobs::job_progress& progress, int part)
+{
+    return { .key = progressKey(progress, part) };
+}
 
 Records::keyed_record claimRecord(const claim_record& claim)
 {
@@ -231,16 +234,16 @@
     const auto idEnd = record.key.find(scopeSeparator, 1);
     if (idEnd == std::string::npos) {
         const Common::job_id id { record.key.substr(1) };
-        if (m_jobRegistry.cancel(id))
-            m_listener.jobCancelled(id);
+        const bool isNew = m_jobRegistry.cancel(id);
+        if (const auto* job = m_jobRegistry.find(id); isNew && job)
+            m_listener.jobCancelled(job->id);
         return;
     }
-    const Common::job_id id { record.key.substr(1, idEnd - 1) };
     const auto scope = decodeScope(record.value);
     if (!scope)
         reportUnreadable("cancellation", record);
-    else if (m_jobRegistry.cancel(id, *scope))
-        m_listener.jobCancelled(id);
+    else if (const auto job = m_jobRegistry.cancel({ record.key.substr(1, idEnd - 1) }, *scope))
+        m_listener.jobCancelled(*job);
 }
 
 void intake_feed::apply(const Records::keyed_record& record)
@@ -328,13 +331,19 @@
         reportUnreadable("state", record);
         return;
     }
+    const Common::job_id id { record.key };
+    if (!m_jobRegistry.noteState(id, *state))
+        return;
+    if (Jobs::hasScope(id))
+        m_published.erase(Jobs::callerIdOf(id).value);
     m_published[record.key] = *state;
-    m_jobRegistry.noteState({ record.key }, *state);
 }
 
 std::optional<Jobs::job_state> state_feed::published(const Common::job_id& id) const
 {
-    const auto found = m_published.find(id.value);
+    auto found = m_published.find(id.value);
+    if (found == m_published.end())
+        found = m_published.find(Jobs::callerIdOf(id).value);
     return found == m_published.end() ? std::nullopt : std::optional(found->second);
 }
 
--- a/Source/Core/ControlPlane/JobFeeds.h
+++ b/Source/Core/ControlPlane/JobFeeds.h
@@ -32,13 +32,13 @@
 
 /// Records of the intake and progress topics.
 Records::keyed_record jobRecord(const Jobs::job_record&);
-Records::keyed_record cancelRecord(const Common::job_id&);
-/// Cancellation of a job that isn't known: it cancels the job only if the scope covers it.
-Records::keyed_record cancelRecord(const Common::job_id&, const Jobs::caller_scope&);
-/// Progress of a job, or one part of it. Part 0 has the key of the job.
+/// Cancellation of a job, known or not: it cancels the job only if the scope covers it.
+Records::keyed_record cancelRecord(const Common::caller_job_id&, const Jobs::caller_scope&);
+/// Progress of a job, or one part of it. Part 0 has the key of the job, which is the caller's identifier for the job that
+/// uses lane 0: earlier versions know no other.
 Records::keyed_record progressRecord(const Jobs::job_progress&, int part = 0);
 /// Deletes a part that isn't needed any more.
-Records::keyed_record progressRemoval(const Common::job_id&, int part);
+Records::keyed_record progressRemoval(const Jobs::job_progress&, int part);
 Records::keyed_record claimRecord(const claim_record&);
 /// Heartbeat of the leader with this claim.
 Records::keyed_record heartbeatRecord(std::int64_t number);
--- a/Source/Core/ControlPlane/LeaderTerm.cpp
+++ b/Source/Core/ControlPlane/LeaderTerm.cpp
@@ -93,19 +93,15 @@
 void leader_term::start(const std::map<std::int64_t, Capacity::wave_status>& waves)
 {
     m_isStarted = true;
-    const auto now = m_parts.timers.now();
     const auto openJobs = m_parts.jobRegistry.openJobs();
     const auto cancelledJobs = m_parts.jobRegistry.cancelledJobs();
     Common::writeEvent(Common::log_level::Info, Common::log_category::Dispatch, "dispatch_began",
         { { "number", std::to_string(m_options.number) }, { "open_jobs", std::to_string(openJobs.size()) },
             { "cancelled_jobs", std::to_string(cancelledJobs.size()) } });
-    for (const auto& id : openJobs) {
-        const auto* job = m_parts.jobRegistry.find(id);
-        m_dispatcher.addJob(*job->record, job->wholeProgress(), now);
-    }
+    for (const auto& id : openJobs)
+        addJob(id);
     for (const auto& id : cancelledJobs) {
-        const auto* job = m_parts.jobRegistry.find(id);
-        m_dispatcher.addJob(*job->record, job->wholeProgress(), now);
+        addJob(id);
         m_dispatcher.cancelJob(id);
     }
     if (m_capacity)
@@ -113,6 +109,12 @@
     schedulePlan();
 }
 
+void leader_term::addJob(const Common::job_id& id)
+{
+    const auto& jobs = m_parts.jobRegistry;
+    m_dispatcher.addJob(*jobs.find(id), jobs.progressOf(id), m_parts.timers.now(), jobs.highestLaneOfOthers(id));
+}
+
 void leader_term::stopOrders()
 {
     m_isOver = true;
@@ -198,11 +200,10 @@
 
 void leader_term::jobAccepted(const Common::job_id& id)
 {
-    const auto* job = m_parts.jobRegistry.find(id);
-    if (!job || !m_isStarted)
+    if (!m_isStarted || !m_parts.jobRegistry.find(id))
         return;
-    m_dispatcher.addJob(*job->record, job->wholeProgress(), m_parts.timers.now());
-    if (job->isCancelled)
+    addJob(id);
+    if (m_parts.jobRegistry.isCancelled(id))
         m_dispatcher.cancelJob(id);
     schedulePlan();
 }
@@ -474,7 +475,7 @@
     m_parts.jobRegistry.noteState(progress.job, progress.state);
     // The term may have ended while the answers to one append are handled.
     if (m_states)
-        m_states->publish(progress.job, progress.state);
+        m_states->publish(progress);
 }
 
 void leader_term::observe(const Dispatch::dispatch_event& event)
--- a/Source/Core/ControlPlane/LeaderTerm.h
+++ b/Source/Core/ControlPlane/LeaderTerm.h
@@ -89,6 +89,7 @@
     void observe(const Dispatch::dispatch_event&) override;
 
 private:
+    void addJob(const Common::job_id&);
     void tick();
     void reportLoad();
     /// Tells the load monitor how late a timer fired that was due at `due`.
--- a/Source/Core/ControlPlane/ProgressWriter.cpp
+++ b/Source/Core/ControlPlane/ProgressWriter.cpp
@@ -18,13 +18,14 @@
     std::vector<Records::keyed_record> records;
     auto& written = m_written[progress.job.value];
     auto parts = division.divide(progress);
+    const auto stored = m_registry.laterPartsOf(progress.job);
     for (int number = 0; number < division.partCount(); ++number) {
         auto& tasks = parts[static_cast<std::size_t>(number)];
         const auto last = written.find(number);
-        const bool isStored = last != written.end() || hasPart(progress.job, number);
+        const bool isStored = last != written.end() || stored.contains(number);
         if (number > 0 && tasks.empty() && !isStored)
             continue;
-        auto record = fittingRecord({ .job = progress.job, .state = progress.state, .tasks = std::move(tasks) }, number);
+        auto record = fittingRecord({ .job = progress.job, .state = progress.state, .lanes = progress.lanes, .tasks = std::move(tasks) }, number);
         auto digest = Common::contentDigest(record.value);
         if (last != written.end() && last->second == digest)
             continue;
@@ -42,14 +43,11 @@
             parts.insert(number);
         m_written.erase(written);
     }
-    if (const auto* job = m_registry.find(progress.job)) {
-        for (const auto& [number, tasks] : job->laterParts)
-            parts.insert(number);
-    }
+    parts.merge(m_registry.laterPartsOf(progress.job));
     parts.erase(0);
     std::vector<Records::keyed_record> records { progressRecord(progress) };
     for (const int number : parts)
-        records.push_back(progressRemoval(progress.job, number));
+        records.push_back(progressRemoval(progress, number));
     return records;
 }
 
@@ -74,12 +72,6 @@
     return record;
 }
 
-bool progress_writer::hasPart(const Common::job_id& id, int part) const
-{
-    const auto* job = m_registry.find(id);
-    return job && job->laterParts.contains(part);
-}
-
 std::vector<std::vector<Records::keyed_record>> divideIntoAppends(
     std::vector<Records::keyed_record> records, const Records::store_limits& limits)
 {
--- a/Source/Core/ControlPlane/ProgressWriter.h
+++ b/Source/Core/ControlPlane/ProgressWriter.h
@@ -27,8 +27,6 @@
     std::vector<Records::keyed_record> writeLast(const Jobs::job_progress&);
     /// The record of a part, without its longest checkpoints if it would be too long.
     Records::keyed_record fittingRecord(Jobs::job_progress, int part) const;
-    /// Whether an earlier leader has stored the part.
-    bool hasPart(const Common::job_id&, int part) const;
 
     const Jobs::job_registry& m_registry;
     Records::store_limits m_limits;
--- a/Source/Core/ControlPlane/StatePublisher.cpp
+++ b/Source/Core/ControlPlane/StatePublisher.cpp
@@ -41,8 +41,10 @@
     }
 }
 
-void state_publisher::publish(const Common::job_id& id, Jobs::job_state state)
+void state_publisher::publish(const Jobs::job_progress& progress)
 {
+    const auto& id = progress.job;
+    const auto state = progress.state;
     if (state == Jobs::job_state::Pending)
         return;
     const auto known = m_published.find(id.value);
@@ -52,7 +54,12 @@
         m_published.erase(id.value);
     else
         m_published.insert_or_assign(id.value, state);
-    append({ stateRecord(id, state) });
+    std::vector<Records::keyed_record> records { stateRecord(id, state) };
+    // Instances of earlier versions know only the job that uses the caller's identifier alone. Others skip the copy, since
+    // they have read the record before it.
+    if (Jobs::hasScope(id) && Jobs::usesCallerKey(progress))
+        records.push_back(stateRecord({ Jobs::callerIdOf(id).value }, state));
+    append(std::move(records));
 }
 
 void state_publisher::append(std::vector<Records::keyed_record> records)
--- a/Source/Core/ControlPlane/StatePublisher.h
+++ b/Source/Core/ControlPlane/StatePublisher.h
@@ -29,8 +29,8 @@
 
     /// Publishes the claim, and the states that earlier leaders stored but didn't publish.
     void begin(const claim_record&, const Jobs::job_registry&);
-    /// The job's progress is stored with this state.
-    void publish(const Common::job_id&, Jobs::job_state);
+    /// The job's progress is stored with its state.
+    void publish(const Jobs::job_progress&);
 
 private:
     void append(std::vector<Records::keyed_record>);
--- a/Source/Core/Dispatch/Dispatcher.cpp
+++ b/Source/Core/Dispatch/Dispatcher.cpp
@@ -87,10 +87,13 @@
     worker.isCordoned = isCordoned;
 }
 
-void dispatcher::addJob(const Jobs::job_record& record, const Jobs::job_progress& progress, Common::instant now)
+void dispatcher::addJob(
+    const Jobs::job_record& record, const Jobs::job_progress& known, Common::instant now, int highestTakenLane)
 {
-    if (m_jobs.contains(record.id.value) || Jobs::isFinal(progress.state))
+    if (m_jobs.contains(record.id.value) || Jobs::isFinal(known.state))
         return;
+    auto progress = known;
+    progress.lanes = m_namesakes.add(record.id, progress.lanes, highestTakenLane);
     auto job = std::make_unique<open_job>(record, progress, m_options.runBase);
     const auto* queue = m_rules.findQueue(record.queue);
     const double stretch = queue ? queue->stretch : 1;
@@ -100,9 +103,9 @@
     job->addedAt = now;
     if (!job->isLogged)
         m_neverStarted.insert(record.id.value);
-    for (const auto& known : progress.tasks) {
-        if (!known.isDone && !known.worker.empty())
-            inherit(*job, known, now);
+    for (const auto& task : progress.tasks) {
+        if (!task.isDone && !task.worker.empty())
+            inherit(*job, task, now);
     }
     if (record.spec.repetitions > 0)
         m_repeatedJobs.insert(job.get());
@@ -129,6 +132,7 @@
     m_repeatedJobs.erase(job);
     m_neverStarted.erase(id.value);
     m_jobs.erase(id.value);
+    forgetNamesake(id);
 }
 
 void dispatcher::indexWorker(worker_state& worker)
--- a/Source/Core/Dispatch/Dispatcher.h
+++ b/Source/Core/Dispatch/Dispatcher.h
@@ -1,6 +1,8 @@
 #pragma once
 
+#include "Dispatch/DispatchEvents.h"
 #include "Dispatch/JobOrder.h"
+#include "Dispatch/Namesakes.h"
 #include "Dispatch/OpenJob.h"
 #include "Dispatch/OverloadPlanner.h"
 #include "Dispatch/Placement.h"
@@ -42,105 +44,6 @@
     bool empty() const { return progress.empty() && coveredEnds.empty(); }
 };
 
-enum class dispatch_event_kind {
-    Adopted,
-    Started,
-    StartRefused,
-    StartOutcomeUnknown,
-    StopOrdered,
-    Ended,
-    RunMissing,
-    /// The worker has more ends than one list holds; what it doesn't list may have ended.
-    EndListCut,
-    EndListComplete,
-    Stalled,
-    WorkerUnresponsive,
-    WorkerLeaseExpired,
-    WorkerRestarted,
-    /// Nothing that an earlier leader ordered can still run on the worker unnoticed.
-    WorkerReconciled,
-    /// It may again.
-    WorkerUnreconciled,
-    /// A start was sent although the log doesn't have its placement.
-    SentWithoutLog,
-    /// Its worker has restarted, and only the worker's next list shows whether the run was lost.
-    RunUndetermined,
-    /// A run was lost when its worker crashed.
-    CrashNoted,
-    /// The task's job is run apart from other suspected jobs.
-    CrashSuspected,
-    /// The task has run long enough not to be the cause of crashes.
-    CrashSuspicionCleared,
-    /// The pool is short: other jobs are started first.
-    JobPostponed,
-    /// It is among the first again.
-    JobResumed,
-    /// The task is given up, since workers crash when they start it.
-    CrashingTaskGivenUp,
-    WorkerSuspected,
-    JobFinished,
-    Fenced
-};
-
-/// Why a run is stopped.
-enum class stop_reason {
-    /// The job is finished or cancelled.
-    JobFinished,
-    /// The start had no answer, so it is unknown whether the task runs.
-    StartUnanswered,
-    Stalled,
-    /// Another run of the task has succeeded.
-    TaskDone,
-    /// The worker reports a run that isn't wanted there.
-    NotWanted,
-    /// The worker is to be emptied.
-    Evicted
-};
-
-/// Why nothing that an earlier leader ordered can still run on a worker unnoticed.
-enum class reconciliation_reason {
-    EndsListed,
-    LeasesExpired
-};
-
-/// A decision of the dispatcher or a change that it noticed, for logs and counters.
-struct dispatch_event {
-    dispatch_event_kind kind;
-    Jobs::task_name task;
-    Common::worker_id worker;
-    run_number run;
-    std::optional<order_outcome> outcome;
-    std::optional<end_kind> end;
-    std::optional<Jobs::job_state> state;
-    std::optional<stop_reason> stop;
-    std::optional<reconciliation_reason> reconciliation;
-    /// Time since another leader may have taken over; empty while none can have.
-    std::optional<Common::millis> disputedFor;
-    /// Time from the sending of a start to its answer.
-    std::optional<Common::millis> answeredAfter;
-    std::optional<postponement> postponed;
-};
-
-/// Parts of a planning pass.
-enum class plan_part {
-    Upkeep,
-    Stops,
-    Ordering,
-    Placement,
-    Sending,
-    Polls,
-    Paces,
-    End
-};
-
-class dispatch_observer {
-public:
-    virtual ~dispatch_observer() = default;
-    virtual void observe(const dispatch_event&) = 0;
-    /// The part begins; the part before it has ended.
-    virtual void onPlanPart(plan_part) { }
-};
-
 /// Work of the last planning pass, counted so that tests can bound it.
 struct plan_statistics {
     /// Workers whose resources were compared with a request.
@@ -196,7 +99,9 @@
     void setInstanceWorkers(const std::map<Common::worker_id, Common::pool_id>&, Common::instant began,
         Common::instant now, Common::wall_millis wall);
     void setCordoned(const Common::worker_id&, bool);
-    void addJob(const Jobs::job_record&, const Jobs::job_progress&, Common::instant now);
+    /// `highestTakenLane` is the highest lane of run numbers that the log shows for other jobs with the same identifier of the
+    /// caller; -1 for none.
+    void addJob(const Jobs::job_record&, const Jobs::job_progress&, Common::instant now, int highestTakenLane = -1);
     void cancelJob(const Common::job_id&);
 
     /// How many starts the next plan may send. The others stay planned, and a gang is sent completely or not at all.
@@ -328,6 +233,18 @@
     /// Whether the pool has few enough workers on probation for the suspected job to start on this one.
     static bool mayUseForSuspect(const worker_state*, const open_job&, const pool_pass&);
     static void reserveForProbation(const placement_request&, open_job&, const pool_pass&);
+    /// Workers with runs of other jobs that have the same identifier of the caller. A worker knows tasks by that, so it gets no
+    /// run of this job meanwhile.
+    std::set<Common::worker_id> workersOfNamesakes(const open_job&) const;
+    /// Names the job that the task belongs to by the run's number; without an open job of that lane, the caller's identifier
+    /// alone remains.
+    Jobs::task_name identify(const Jobs::task_name&, run_number) const;
+    poll_order_reply identifyAll(poll_order_reply) const;
+    /// A worker has seen higher run numbers of another job with the same identifier of the caller: the job's next runs get
+    /// higher ones.
+    void raiseLane(open_job&);
+    /// To be called when the job is closed or a run of it is dropped.
+    void forgetNamesake(const Common::job_id&);
     /// Tasks of the job with a run that is being stopped.
     std::set<Jobs::task_name> tasksBeingStopped(const Common::job_id&) const;
     void planJob(open_job&, const pool_pass&);
@@ -453,6 +370,8 @@
     /// In order of their ids.
     std::map<Common::pool_id, std::vector<worker_state*>> m_workersOfPools;
     std::unordered_map<std::string, std::unique_ptr<open_job>> m_jobs;
+    /// The open jobs, and those of which something may still run.
+    namesake_index m_namesakes;
     std::map<Common::pool_id, job_order> m_jobsOfPools;
     std::unordered_set<open_job*> m_repeatedJobs;
     /// For each job, the number of its runs on each worker that has some.
--- a/Source/Core/Dispatch/DispatcherReplies.cpp
+++ b/Source/Core/Dispatch/DispatcherReplies.cpp
@@ -46,9 +46,12 @@
     const auto runs = m_runsOfJobs.find(name.job.value);
     if (--runs->second[worker.entry.id] == 0)
         runs->second.erase(worker.entry.id);
-    if (runs->second.empty())
-        m_runsOfJobs.erase(runs);
+    const auto job = name.job;
     worker.removeRun(name);
+    if (!runs->second.empty())
+        return;
+    m_runsOfJobs.erase(runs);
+    forgetNamesake(job);
 }
 
 void dispatcher::releaseRun(worker_state& worker, Jobs::task_name name, Common::instant notBefore)
@@ -147,6 +150,9 @@
         suspect(worker, now, refusalBackoff);
     if (reply.outcome == order_outcome::NotSent)
         suspect(worker, now, noAnswerBackoff);
+    auto* job = findJob(order.task.job);
+    if (job && reply.outcome == order_outcome::StaleRun)
+        raiseLane(*job);
     const bool isPermanent = reply.outcome == order_outcome::Invalid || reply.outcome == order_outcome::NoTicket;
     releaseRun(worker, order.task, now + (isPermanent ? rejectedStartDelay : Common::millis(0)));
 }
@@ -181,8 +187,9 @@
 }
 
 void dispatcher::onPollReply(
-    const poll_order& order, const poll_order_reply& reply, Common::instant sentAt, Common::instant now)
+    const poll_order& order, const poll_order_reply& listed, Common::instant sentAt, Common::instant now)
 {
+    const auto reply = identifyAll(listed);
     const auto found = m_workers.find(order.worker.id);
     if (found == m_workers.end())
         return;
--- a/Source/Core/Dispatch/DispatcherStarts.cpp
+++ b/Source/Core/Dispatch/DispatcherStarts.cpp
@@ -122,7 +122,8 @@
         .job = job.record().id,
         .isSuspect = job.isSuspect() && !isOverdue(job, now),
         .now = now,
-        .onWorker = &counts };
+        .onWorker = &counts,
+        .excluded = workersOfNamesakes(job) };
     if (spec.maxPerWorker <= 0 && !spec.isRackSensitive)
         return request;
     for (const auto& task : job.occurrences()[occurrence].steps[static_cast<std::size_t>(step)].tasks) {
--- a/Source/Core/Dispatch/OpenJob.cpp
+++ b/Source/Core/Dispatch/OpenJob.cpp
@@ -1,5 +1,7 @@
 #include "Dispatch/OpenJob.h"
 
+#include "Jobs/JobNames.h"
+
 #include <algorithm>
 #include <limits>
 
@@ -51,7 +53,8 @@
     : state(progress.state)
     , isLogged(Jobs::showsStart(progress))
     , m_record(record)
-    , m_base(base)
+    , m_lanes(progress.lanes.empty() ? std::vector<int> { 0 } : progress.lanes)
+    , m_termBase(base)
     , m_hasLongRunningTasks(std::any_of(record.spec.steps.begin(), record.spec.steps.end(),
           [](const auto& step) { return step.isLongRunning; }))
 {
@@ -79,6 +82,19 @@
     }
 }
 
+run_number open_job::firstRun() const { return { Jobs::firstNumberOf(m_lanes.back()) + m_termBase.value }; }
+
+void open_job::useLane(int lane)
+{
+    m_lanes.push_back(lane);
+    for (auto& [number, occurrence] : m_occurrences) {
+        for (auto& step : occurrence.steps) {
+            for (auto& task : step.tasks)
+                task.lastRun = std::max(task.lastRun, firstRun());
+        }
+    }
+}
+
 int open_job::occurrenceCount() const { return std::max(1, m_record.spec.repetitions); }
 
 occurrence_state& open_job::open(int occurrence)
@@ -89,7 +105,7 @@
     noteChange();
     for (const auto& step : m_record.spec.steps) {
         task_state fresh;
-        fresh.lastRun = m_base;
+        fresh.lastRun = firstRun();
         opened.steps.push_back({ .tasks = std::vector<task_state>(static_cast<std::size_t>(step.count), fresh) });
     }
     return opened;
@@ -204,7 +220,7 @@
 
 Jobs::job_progress open_job::progress() const
 {
-    Jobs::job_progress progress { .job = m_record.id, .state = state };
+    Jobs::job_progress progress { .job = m_record.id, .state = state, .lanes = m_lanes };
     if (Jobs::isFinal(state))
         return progress;
     for (const auto& [number, occurrence] : m_occurrences) {
--- a/Source/Core/Dispatch/OpenJob.h
+++ b/Source/Core/Dispatch/OpenJob.h
@@ -87,7 +87,7 @@
 /// A job that isn't finished, as the leader of its pool tracks it.
 class open_job {
 public:
-    /// This leader's run numbers are higher than `base`.
+    /// This leader's run numbers are higher than `base`, in the last of the progress' lanes.
     open_job(const Jobs::job_record&, const Jobs::job_progress&, run_number base);
 
     const Jobs::job_record& record() const { return m_record; }
@@ -123,6 +123,10 @@
     void finish(const Jobs::task_name&);
 
     Jobs::job_progress progress() const;
+    /// Lanes of the job's run numbers, the present one last.
+    const std::vector<int>& lanes() const { return m_lanes; }
+    /// From now on, runs have numbers of this lane, which is higher than the others.
+    void useLane(int lane);
 
     Jobs::job_state state { Jobs::job_state::Pending };
     /// Whatever the log has of the job, and whatever is on the way there, a later leader treats it as started.
@@ -144,8 +148,12 @@
     job_summary summarize() const;
     Common::wall_millis lateAfter() const;
 
+    /// This leader's run numbers in the present lane are higher.
+    run_number firstRun() const;
+
     Jobs::job_record m_record;
-    run_number m_base;
+    std::vector<int> m_lanes;
+    run_number m_termBase;
     std::map<int, occurrence_state> m_occurrences;
     bool m_hasLongRunningTasks { false };
     /// A run of a task was lost with its worker.
--- a/Source/Core/Dispatch/Placement.cpp
+++ b/Source/Core/Dispatch/Placement.cpp
@@ -155,7 +155,7 @@
         if (!mayRun(slot, needed))
             continue;
         hasRoom = true;
-        if (!isWithinLimit(slot, request))
+        if (!isWithinLimit(slot, request) || request.excluded.contains(slot.worker->entry.id))
             continue;
         if (!isAllowedBySuspicion(slot.current(), request))
             continue;
@@ -177,7 +177,8 @@
     worker_state* best = nullptr;
     for (auto key = firstWith(needed.amount.processor); key != m_order.end(); ++key) {
         const auto& slot = m_slots[key->slot];
-        const bool isFree = !slot.worker->isOnProbation(request.now);
+        const bool isFree
+            = !slot.worker->isOnProbation(request.now) && !request.excluded.contains(slot.worker->entry.id);
         if (isFree && mayRun(slot, needed) && (!best || slot.worker->runs.size() < best->runs.size()))
             best = slot.worker;
     }
--- a/Source/Core/Dispatch/Placement.h
+++ b/Source/Core/Dispatch/Placement.h
@@ -3,6 +3,7 @@
 #include "Dispatch/WorkerState.h"
 
 #include <memory>
+#include <set>
 #include <vector>
 
 namespace Dispatch {
@@ -20,6 +21,8 @@
     Common::instant now;
     /// Number of the step's tasks on each worker, for the limit per worker.
     const std::map<Common::worker_id, int>* onWorker { nullptr };
+    /// Workers that may not run the task.
+    std::set<Common::worker_id> excluded;
 };
 
 /// What a task of a step needs of a worker; best-effort tasks need no processor.
--- a/Source/Core/Entry/ApiCall.h
+++ b/Source/Core/Entry/ApiCall.h
@@ -38,7 +38,7 @@
     call_verb verb { call_verb::State };
     Rules::queue_rule queue;
     /// Empty for `CountWaiting`.
-    Common::job_id job;
+    Common::caller_job_id job;
     /// Empty for a call to a public queue without a known key.
     Common::team_id team;
 };
--- a/Source/Core/Jobs/Job.h
+++ b/Source/Core/Jobs/Job.h
@@ -118,12 +118,18 @@
 struct job_progress {
     Common::job_id job;
     job_state state { job_state::Pending };
+    /// Lanes of the job's run numbers, the present one last; empty as long as none is known.
+    std::vector<int> lanes;
     /// Tasks that are done, placed, failed before or have a checkpoint; the others have nothing to store.
     std::vector<task_progress> tasks;
 
     friend bool operator==(const job_progress&, const job_progress&) = default;
 };
 
+/// Whether the job's progress is stored under the caller's identifier alone, like that of earlier versions. Of the jobs with
+/// the same identifier only the one that uses lane 0 is.
+inline bool usesCallerKey(const job_progress& progress) { return progress.lanes.empty() || progress.lanes.front() == 0; }
+
 /// Whether the stored progress tells a later leader that tasks of the job may be running. Of a job without that nobody may
 /// start anything that isn't stored first.
 inline bool showsStart(const job_progress& progress)
--- a/Source/Core/Jobs/JobCodec.cpp
+++ b/Source/Core/Jobs/JobCodec.cpp
@@ -1,6 +1,7 @@
 #include "Jobs/JobCodec.h"
 
 #include "Common/JsonFields.h"
+#include "Jobs/JobNames.h"
 
 #include <algorithm>
 
@@ -95,6 +96,7 @@
                 first = last + 1;
             }
             json out { { "s", static_cast<int>(m_progress.state) } };
+            writeOwner(out);
             if (tasks.empty())
                 return out;
             out["steps"] = m_steps;
@@ -108,6 +110,15 @@
         }
 
     private:
+        /// The key of the record tells the rest. Readers of earlier versions ignore both fields.
+        void writeOwner(json& out) const
+        {
+            if (usesCallerKey(m_progress) && hasScope(m_progress.job))
+                out["k"] = scopeDigestOf(m_progress.job);
+            if (m_progress.lanes.size() > 1 || !usesCallerKey(m_progress))
+                out["l"] = m_progress.lanes;
+        }
+
         static bool isFollowing(const task_progress& task, const task_progress& next)
         {
             return task.isDone && next.isDone && task.occurrence == next.occurrence && task.step == next.step
@@ -281,7 +292,7 @@
     json steps = json::array();
     for (const auto& step : job.spec.steps)
         steps.push_back(stepToJson(step));
-    json out { { "id", job.id }, { "queue", job.queue }, { "team", job.team }, { "at", job.acceptedAt },
+    json out { { "id", callerIdOf(job.id) }, { "queue", job.queue }, { "team", job.team }, { "at", job.acceptedAt },
         { "payload", job.spec.payload }, { "steps", steps } };
     if (job.spec.repetitions > 0) {
         out["times"] = job.spec.repetitions;
@@ -295,9 +306,9 @@
 {
     return tryDecode(bytes, [](const json& in) {
         job_record job;
-        job.id = in.at("id").get<Common::job_id>();
         job.queue = in.at("queue").get<Common::queue_id>();
         job.team = in.at("team").get<Common::team_id>();
+        job.id = jobIdOf(in.at("id").get<Common::caller_job_id>(), scopeOf(job));
         job.acceptedAt = in.at("at").get<Common::wall_millis>();
         job.spec.payload = in.at("payload").get<std::string>();
         for (const auto& step : in.at("steps"))
@@ -318,7 +329,8 @@
 {
     return tryDecode(bytes, [&job](const json& in) {
         job_progress progress;
-        progress.job = job;
+        progress.job = in.contains("k") ? jobIdOf(callerIdOf(job), in.at("k").get<std::string>()) : job;
+        progress.lanes = in.value("l", std::vector<int> { 0 });
         const bool isEarlierForm = in.contains("state");
         progress.state = Common::enumFromJson(in.at(isEarlierForm ? "state" : "s"), lastState);
         if (!isEarlierForm) {
--- a/Source/Core/Jobs/JobRegistry.cpp
+++ b/Source/Core/Jobs/JobRegistry.cpp
@@ -5,53 +5,72 @@
 
 namespace Jobs {
 
-bool caller_scope::covers(const job_record& job) const
+namespace {
+
+    bool wasAcceptedBefore(const job_record& left, const job_record& right)
+    {
+        return left.acceptedAt != right.acceptedAt ? left.acceptedAt < right.acceptedAt : left.id < right.id;
+    }
+
+    bool usesFirstLane(const known_job& job) { return !job.progress.lanes.empty() && job.progress.lanes.front() == 0; }
+
+    job_state later(job_state left, job_state right) { return isFinal(left) ? left : std::max(left, right); }
+
+}
+
+job_progress known_job::wholeProgress() const
 {
-    return job.queue == queue && (job.team.empty() || team.empty() || job.team == team);
+    auto whole = progress;
+    for (const auto& [number, tasks] : laterParts)
+        whole.tasks.insert(whole.tasks.end(), tasks.begin(), tasks.end());
+    return whole;
 }
 
 bool job_registry::accept(job_record record)
 {
     auto& job = m_jobs[record.id.value];
-    // Clients that got no answer submit a job again; only the first copy of an id counts.
+    // Clients that got no answer submit a job again; only the first copy counts.
     if (job.record)
         return false;
     job.record = std::move(record);
-    const auto [first, last] = m_earlyCancellations.equal_range(job.record->id.value);
-    job.isCancelled = job.isCancelled
-        || std::any_of(first, last, [&job](const auto& entry) { return entry.second.covers(*job.record); });
-    m_earlyCancellations.erase(first, last);
+    const auto scope = scopeOf(*job.record);
+    const auto [first, last] = m_earlyCancellations.equal_range(callerIdOf(job.record->id).value);
+    for (auto entry = first; entry != last;) {
+        const bool isMeant = entry->second.covers(scope);
+        job.isCancelled = job.isCancelled || isMeant;
+        // Another team's may be about a job that isn't known yet.
+        entry = isMeant ? m_earlyCancellations.erase(entry) : std::next(entry);
+    }
     return true;
 }
 
-bool job_registry::cancel(const Common::job_id& id) { return !std::exchange(m_jobs[id.value].isCancelled, true); }
+bool job_registry::cancel(const Common::job_id& id)
+{
+    const auto found = locate(id);
+    if (found == m_jobs.end())
+        return !std::exchange((hasScope(id) ? m_jobs[id.value] : m_unscoped[id.value]).isCancelled, true);
+    return !std::exchange(m_jobs[found->first].isCancelled, true);
+}
 
-bool job_registry::cancel(const Common::job_id& id, const caller_scope& scope)
+std::optional<Common::job_id> job_registry::cancel(const Common::caller_job_id& id, const caller_scope& scope)
 {
-    if (const auto* job = find(id))
-        return scope.covers(*job->record) && cancel(id);
+    if (const auto* job = find(id, scope))
+        return cancel(job->id) ? std::optional(job->id) : std::nullopt;
     if (!awaitsJob(id, scope))
         m_earlyCancellations.emplace(id.value, scope);
-    return false;
+    return std::nullopt;
 }
 
-bool job_registry::awaitsJob(const Common::job_id& id, const caller_scope& scope) const
+bool job_registry::awaitsJob(const Common::caller_job_id& id, const caller_scope& scope) const
 {
     const auto [first, last] = m_earlyCancellations.equal_range(id.value);
     return std::any_of(first, last, [&scope](const auto& entry) { return entry.second == scope; });
 }
 
-job_progress known_job::wholeProgress() const
+void job_registry::replacePart(known_job& job, job_progress progress, int part)
 {
-    auto whole = progress;
-    for (const auto& [number, tasks] : laterParts)
-        whole.tasks.insert(whole.tasks.end(), tasks.begin(), tasks.end());
-    return whole;
-}
-
-void job_registry::advance(job_progress progress, int part)
-{
-    auto& job = m_jobs[progress.job.value];
+    if (!progress.lanes.empty())
+        job.progress.lanes = progress.lanes;
     // The leader applies a final state before it reads its own, possibly older, records back.
     if (isFinal(job.progress.state))
         return;
@@ -61,23 +80,71 @@
         return;
     }
     job.progress = std::move(progress);
+    job.hasFirstPart = true;
     if (isFinal(job.progress.state))
         job.laterParts.clear();
 }
 
-void job_registry::noteState(const Common::job_id& id, job_state state)
+void job_registry::advance(job_progress progress, int part)
+{
+    if (!hasScope(progress.job)) {
+        auto& unscoped = m_unscoped[progress.job.value];
+        replacePart(unscoped, std::move(progress), part);
+        return;
+    }
+    if (usesCallerKey(progress))
+        dropUnscopedPart(callerIdOf(progress.job), part);
+    auto& job = m_jobs[progress.job.value];
+    replacePart(job, std::move(progress), part);
+}
+
+void job_registry::dropUnscopedPart(const Common::caller_job_id& id, int part)
+{
+    const auto found = m_unscoped.find(id.value);
+    if (found == m_unscoped.end())
+        return;
+    auto& job = found->second;
+    if (part == 0) {
+        job.progress = {};
+        job.hasFirstPart = false;
+    } else {
+        job.laterParts.erase(part);
+    }
+    if (!job.hasFirstPart && job.laterParts.empty() && !job.isCancelled)
+        m_unscoped.erase(found);
+}
+
+bool job_registry::noteState(const Common::job_id& id, job_state state)
 {
-    auto& progress = m_jobs[id.value].progress;
-    progress.job = id;
-    // Progress that was read first may be newer.
-    if (!isFinal(progress.state) && progress.state < state)
-        progress.state = state;
+    const auto note = [&](known_job& job) {
+        job.progress.job = id;
+        // Progress that was read first may be newer.
+        job.progress.state = later(job.progress.state, state);
+        return true;
+    };
+    if (hasScope(id)) {
+        const auto copy = m_unscoped.find(callerIdOf(id).value);
+        const bool isStateOnly = copy != m_unscoped.end() && !copy->second.hasFirstPart && copy->second.laterParts.empty()
+            && !copy->second.isCancelled;
+        if (isStateOnly)
+            m_unscoped.erase(copy);
+        return note(m_jobs[id.value]);
+    }
+    const auto [first, last] = namesakes({ id.value });
+    const bool isKnown = std::any_of(first, last, [state](const auto& entry) {
+        return !entry.second.progress.job.empty() && entry.second.progress.state == state;
+    });
+    return !isKnown && note(m_unscoped[id.value]);
 }
 
 void job_registry::visitStates(const std::function<void(const Common::job_id&, job_state)>& visit) const
 {
-    for (const auto& [id, job] : m_jobs)
-        visit({ id }, job.progress.state);
+    for (auto job = m_jobs.begin(); job != m_jobs.end(); ++job)
+        visit({ job->first }, progressStateOf(job));
+    for (const auto& [id, job] : m_unscoped) {
+        if (ownerOf({ id }) == m_jobs.end())
+            visit({ id }, job.progress.state);
+    }
 }
 
 void job_registry::forget(const Common::job_id& id)
@@ -85,46 +152,168 @@
     m_jobs.erase(id.value);
 }
 
-const known_job* job_registry::find(const Common::job_id& id) const
+std::pair<job_registry::job_map::const_iterator, job_registry::job_map::const_iterator> job_registry::namesakes(
+    const Common::caller_job_id& id) const
 {
-    const auto found = m_jobs.find(id.value);
-    if (found == m_jobs.end() || !found->second.record)
+    const auto first = jobIdOf(id, "").value;
+    auto end = first;
+    ++end.back();
+    return { m_jobs.lower_bound(first), m_jobs.lower_bound(end) };
+}
+
+job_registry::job_map::const_iterator job_registry::ownerOf(const Common::caller_job_id& id) const
+{
+    if (const auto unscoped = m_jobs.find(id.value); unscoped != m_jobs.end())
+        return unscoped;
+    const auto [first, last] = namesakes(id);
+    auto owner = m_jobs.end();
+    for (auto job = first; job != last; ++job) {
+        if (usesFirstLane(job->second))
+            return job;
+        const bool isEarlier = job->second.record
+            && (owner == m_jobs.end() || wasAcceptedBefore(*job->second.record, *owner->second.record));
+        if (isEarlier)
+            owner = job;
+    }
+    return owner;
+}
+
+job_registry::job_map::const_iterator job_registry::locate(const Common::job_id& id) const
+{
+    return hasScope(id) ? m_jobs.find(id.value) : ownerOf({ id.value });
+}
+
+const known_job* job_registry::unscopedOf(job_map::const_iterator job) const
+{
+    if (m_unscoped.empty())
         return nullptr;
-    return &found->second;
+    const auto id = callerIdOf({ job->first });
+    const auto found = m_unscoped.find(id.value);
+    return found != m_unscoped.end() && ownerOf(id) == job ? &found->second : nullptr;
+}
+
+job_state job_registry::progressStateOf(job_map::const_iterator job) const
+{
+    const auto* unscoped = unscopedOf(job);
+    const auto state = job->second.progress.state;
+    return unscoped ? later(state, unscoped->progress.state) : state;
+}
+
+bool job_registry::isCancelled(job_map::const_iterator job) const
+{
+    const auto* unscoped = unscopedOf(job);
+    return job->second.isCancelled || (unscoped && unscoped->isCancelled);
+}
+
+const job_record* job_registry::find(const Common::job_id& id) const
+{
+    const auto found = locate(id);
+    return found == m_jobs.end() || !found->second.record ? nullptr : &*found->second.record;
+}
+
+const job_record* job_registry::find(const Common::caller_job_id& id, const caller_scope& scope) const
+{
+    if (const auto* job = find(jobIdOf(id, scope)))
+        return job;
+    const auto isMeant = [&scope](const known_job& job) { return job.record && scope.covers(scopeOf(*job.record)); };
+    const auto [first, last] = namesakes(id);
+    const auto found = std::find_if(first, last, [&isMeant](const auto& entry) { return isMeant(entry.second); });
+    if (found != last)
+        return &*found->second.record;
+    const auto unscoped = m_jobs.find(id.value);
+    return unscoped != m_jobs.end() && isMeant(unscoped->second) ? &*unscoped->second.record : nullptr;
+}
+
+bool job_registry::isCancelled(const Common::job_id& id) const
+{
+    const auto found = locate(id);
+    return found != m_jobs.end() && isCancelled(found);
+}
+
+job_progress job_registry::progressOf(const Common::job_id& id) const
+{
+    const auto found = locate(id);
+    if (found == m_jobs.end())
+        return { .job = id };
+    auto job = found->second;
+    if (const auto* unscoped = unscopedOf(found)) {
+        const auto state = later(job.progress.state, unscoped->progress.state);
+        if (unscoped->hasFirstPart)
+            job.progress = unscoped->progress;
+        job.progress.state = state;
+        for (const auto& [part, tasks] : unscoped->laterParts)
+            job.laterParts[part] = tasks;
+    }
+    auto whole = job.wholeProgress();
+    whole.job = { found->first };
+    return whole;
+}
+
+std::set<int> job_registry::laterPartsOf(const Common::job_id& id) const
+{
+    std::set<int> parts;
+    const auto found = locate(id);
+    if (found == m_jobs.end())
+        return parts;
+    for (const auto& [part, tasks] : found->second.laterParts)
+        parts.insert(part);
+    if (const auto* unscoped = unscopedOf(found)) {
+        for (const auto& [part, tasks] : unscoped->laterParts)
+            parts.insert(part);
+    }
+    return parts;
 }
 
 std::optional<job_state> job_registry::stateOf(const Common::job_id& id) const
 {
-    const auto* job = find(id);
-    if (!job)
+    const auto found = locate(id);
+    if (found == m_jobs.end() || !found->second.record)
         return std::nullopt;
-    if (isFinal(job->progress.state))
-        return job->progress.state;
-    return job->isCancelled ? job_state::Cancelled : job->progress.state;
+    const auto state = progressStateOf(found);
+    return !isFinal(state) && isCancelled(found) ? job_state::Cancelled : state;
+}
+
+int job_registry::highestLaneOfOthers(const Common::job_id& id) const
+{
+    int highest = -1;
+    const auto [first, last] = namesakes(callerIdOf(id));
+    for (auto job = first; job != last; ++job) {
+        if (job->first == id.value)
+            continue;
+        for (const int lane : job->second.progress.lanes)
+            highest = std::max(highest, lane);
+        // Its lanes may be in records of earlier versions.
+        if (progressStateOf(job) != job_state::Pending)
+            highest = std::max(highest, 0);
+    }
+    const auto unscoped = m_unscoped.find(callerIdOf(id).value);
+    const bool isOfOther = unscoped != m_unscoped.end() && !unscoped->second.progress.job.empty()
+        && ownerOf(callerIdOf(id)) != m_jobs.find(id.value);
+    return isOfOther ? std::max(highest, 0) : highest;
 }
 
 int job_registry::waitingIn(const Common::queue_id& queue) const
 {
-    const auto isWaiting = [&queue](const auto& entry) {
-        const auto& job = entry.second;
-        return job.record && job.record->queue == queue && !job.isCancelled
-            && job.progress.state == job_state::Pending;
-    };
-    return static_cast<int>(std::count_if(m_jobs.begin(), m_jobs.end(), isWaiting));
+    int waiting = 0;
+    for (auto job = m_jobs.begin(); job != m_jobs.end(); ++job) {
+        const auto& record = job->second.record;
+        if (record && record->queue == queue && progressStateOf(job) == job_state::Pending && !isCancelled(job))
+            ++waiting;
+    }
+    return waiting;
 }
 
 std::vector<Common::job_id> job_registry::openJobs() const { return unfinished(false); }
 
 std::vector<Common::job_id> job_registry::cancelledJobs() const { return unfinished(true); }
 
-std::vector<Common::job_id> job_registry::unfinished(bool isCancelled) const
+std::vector<Common::job_id> job_registry::unfinished(bool wantsCancelled) const
 {
     std::vector<Common::job_id> jobs;
-    for (const auto& [id, job] : m_jobs) {
-        if (job.record && job.isCancelled == isCancelled && !isFinal(job.progress.state))
-            jobs.push_back({ id });
+    for (auto job = m_jobs.begin(); job != m_jobs.end(); ++job) {
+        if (job->second.record && isCancelled(job) == wantsCancelled && !isFinal(progressStateOf(job)))
+            jobs.push_back({ job->first });
     }
-    std::sort(jobs.begin(), jobs.end());
     return jobs;
 }
 
--- a/Source/UnitTests/Core/ControlPlane/LargeJobTest.cpp
+++ b/Source/UnitTests/Core/ControlPlane/LargeJobTest.cpp
@@ -39,11 +39,12 @@
     Jobs::job_progress logged(const std::string& id)
     {
         Jobs::job_registry seen;
-        seen.accept({ .id = { id }, .queue = { "q" } });
+        const auto job = Jobs::jobIdOf({ id }, { .queue = { "q" }, .team = {} });
+        seen.accept({ .id = job, .queue = { "q" } });
         ControlPlane::progress_feed feed(seen);
         for (const auto& [key, record] : store.partitions[progress()].newest)
             feed.apply(record);
-        return seen.find({ id })->wholeProgress();
+        return seen.progressOf(job);
     }
 
     bool isCompleted(const std::string& id) { return logged(id).state == Jobs::job_state::Completed; }
--- a/Source/UnitTests/Core/ControlPlane/LeadershipFixture.h
+++ b/Source/UnitTests/Core/ControlPlane/LeadershipFixture.h
@@ -20,8 +20,13 @@
     void start(const Dispatch::start_order& order, Dispatch::fencing_token, Common::millis, reply_handler handler) override
     {
         ++starts[order.task];
+        // Workers know a job by its caller's identifier alone.
+        auto task = order.task;
+        task.job.value = Jobs::callerIdOf(order.task.job).value;
+        mixedStarts += static_cast<int>(std::count_if(running.begin(), running.end(),
+            [&](const auto& run) { return run.task.job == task.job && run.orderedAs.job != order.task.job; }));
         if (finishesTasks)
-            running.push_back({ .endsAt = timers.now() + workTime, .task = order.task, .run = order.run });
+            running.push_back({ .endsAt = timers.now() + workTime, .task = task, .orderedAs = order.task, .run = order.run });
         timers.after(Common::millis(2), [handler] { handler(done()); });
     }
     void stop(const Dispatch::stop_order&, Dispatch::fencing_token, Common::millis, reply_handler) override { }
@@ -60,12 +65,15 @@
     struct running_task {
         Common::instant endsAt;
         Jobs::task_name task;
+        Jobs::task_name orderedAs;
         Dispatch::run_number run;
     };
 
     manual_timers& timers;
     bool isUnresponsive { false };
     std::map<Jobs::task_name, int> starts;
+    /// Starts of a task beside one of another job with the same identifier of the caller.
+    int mixedStarts { 0 };
     /// Tasks end `workTime` after their start; otherwise none is listed.
     bool finishesTasks { false };
     Common::millis workTime { 0 };
--- a/Source/UnitTests/Core/Explorer/SimulatedWorker.cpp
+++ b/Source/UnitTests/Core/Explorer/SimulatedWorker.cpp
@@ -1,5 +1,7 @@
 #include "SimulatedWorker.h"
 
+#include "Jobs/JobNames.h"
+
 #include <algorithm>
 #include <utility>
 
@@ -18,6 +20,13 @@
 /// Each worker has an address of its own. Their ids are a letter and a number.
 std::uint16_t portOf(const std::string& id) { return static_cast<std::uint16_t>(1000 + std::stoi(id.substr(1))); }
 
+/// Workers know a job by its caller's identifier alone.
+Jobs::task_name asListed(Jobs::task_name task)
+{
+    task.job.value = Jobs::callerIdOf(task.job).value;
+    return task;
+}
+
 }
 
 simulated_worker::simulated_worker(
@@ -81,15 +90,16 @@
     if (order.deadline <= clock())
         return reply(order_outcome::DeadlinePassed);
     extendLease(order.deadline);
-    const auto running = m_runs.find(order.task);
+    const auto task = asListed(order.task);
+    const auto running = m_runs.find(task);
     if (running != m_runs.end() && running->second.run == order.run)
         return reply(order_outcome::Done);
-    if (running != m_runs.end() || order.run <= m_highestRuns[order.task])
+    if (running != m_runs.end() || order.run <= m_highestRuns[task])
         return reply(order_outcome::StaleRun);
     if (m_checksCapacity && runCount() >= m_slots)
         return reply(order_outcome::NoRoom);
-    m_runs[order.task] = { .run = order.run, .expectedEnd = m_observer.isLongRunning(order.task) ? Common::instant::max() : m_timers.now() + m_workTime };
-    m_observer.onRunStarted(m_id, order.task, order.run);
+    m_runs[task] = { .run = order.run, .expectedEnd = m_observer.isLongRunning(task) ? Common::instant::max() : m_timers.now() + m_workTime };
+    m_observer.onRunStarted(m_id, task, order.run);
     return reply(order_outcome::Done);
 }
 
@@ -98,9 +108,10 @@
     tick();
     if (isFenced(token))
         return reply(order_outcome::Fenced);
-    auto& highestRun = m_highestRuns[order.task];
+    const auto task = asListed(order.task);
+    auto& highestRun = m_highestRuns[task];
     highestRun = std::max(highestRun, order.run);
-    const auto running = m_runs.find(order.task);
+    const auto running = m_runs.find(task);
     if (running != m_runs.end() && running->second.run <= order.run)
         running->second.stopsAt = m_timers.now() + stopTime;
     return reply(order_outcome::Done);
