--- a/Source/Core/ControlPlane/JobFeeds.cpp
+++ b/Source/Core/ControlPlane/JobFeeds.cpp
@@ -168,9 +168,9 @@
     return { .key = std::move(key), .value = std::move(value) };
 }
 
-Records::keyed_record progressRecord(const Jobs::job_progress& progress, int part)
+Records::keyed_record progressRecord(const Jobs::job_progress& progress)
 {
-    return { .key = progressKey(progress, part), .value = Jobs::encodeProgress(progress) };
+    return { .key = progressKey(progress, progress.part), .value = Jobs::encodeProgress(progress) };
 }
 
 Records::keyed_record progressRemoval(const Jobs::job_progress& progress, int part)
@@ -310,10 +310,12 @@
     }
     const auto key = readProgressKey(record.key);
     auto progress = key ? Jobs::decodeProgress(key->job, record.value) : std::nullopt;
-    if (progress)
-        m_jobRegistry.advance(std::move(*progress), key->part);
-    else
+    if (!progress) {
         reportUnreadable("progress", record);
+        return;
+    }
+    progress->part = key->part;
+    m_jobRegistry.advance(std::move(*progress));
 }
 
 state_feed::state_feed(Jobs::job_registry& jobRegistry, progress_feed& leadership)
--- a/Source/Core/ControlPlane/JobFeeds.h
+++ b/Source/Core/ControlPlane/JobFeeds.h
@@ -36,7 +36,7 @@
 Records::keyed_record cancelRecord(const Common::caller_job_id&, const Jobs::caller_scope&);
 /// Progress of a job, or one part of it. Part 0 has the key of the job, which is the caller's identifier for the job that
 /// uses lane 0: earlier versions know no other.
-Records::keyed_record progressRecord(const Jobs::job_progress&, int part = 0);
+Records::keyed_record progressRecord(const Jobs::job_progress&);
 /// Deletes a part that isn't needed any more.
 Records::keyed_record progressRemoval(const Jobs::job_progress&, int part);
 Records::keyed_record claimRecord(const claim_record&);
--- a/Source/Core/ControlPlane/LeaderTerm.cpp
+++ b/Source/Core/ControlPlane/LeaderTerm.cpp
@@ -112,7 +112,15 @@
 void leader_term::addJob(const Common::job_id& id)
 {
     const auto& jobs = m_parts.jobRegistry;
-    m_dispatcher.addJob(*jobs.find(id), jobs.progressOf(id), m_parts.timers.now(), jobs.highestLaneOfOthers(id));
+    const auto now = m_parts.timers.now();
+    bool isFirst = true;
+    // The progress of a large job isn't put together: as a whole it takes far more memory than the job.
+    jobs.visitProgress(id, [&](const Jobs::job_progress& part) {
+        if (std::exchange(isFirst, false))
+            m_dispatcher.addJob(*jobs.find(id), part, now, jobs.highestLaneOfOthers(id));
+        else
+            m_dispatcher.addProgress(part, now);
+    });
 }
 
 void leader_term::stopOrders()
@@ -434,8 +442,7 @@
 {
     std::vector<Records::keyed_record> records;
     for (const auto& progress : batch.progress) {
-        const auto* job = m_dispatcher.recordOf(progress.job);
-        auto written = m_progressWriter.write(job->spec, progress);
+        auto written = m_progressWriter.write(progress);
         records.insert(records.end(), std::make_move_iterator(written.begin()), std::make_move_iterator(written.end()));
     }
     return records;
--- a/Source/Core/ControlPlane/ProgressWriter.cpp
+++ b/Source/Core/ControlPlane/ProgressWriter.cpp
@@ -1,6 +1,5 @@
 #include "ControlPlane/ProgressWriter.h"
 
-#include "Common/Hashing.h"
 #include "Common/Logging.h"
 
 #include <algorithm>
@@ -8,42 +7,22 @@
 
 namespace ControlPlane {
 
-std::vector<Records::keyed_record> progress_writer::write(const Jobs::job_spec& spec, const Jobs::job_progress& progress)
+std::vector<Records::keyed_record> progress_writer::write(const Jobs::job_progress& progress)
 {
     if (Jobs::isFinal(progress.state))
         return writeLast(progress);
-    const Jobs::progress_division division(spec);
-    if (division.partCount() == 1)
-        return { fittingRecord(progress, 0) };
-    std::vector<Records::keyed_record> records;
-    auto& written = m_written[progress.job.value];
-    auto parts = division.divide(progress);
-    const auto stored = m_registry.laterPartsOf(progress.job);
-    for (int number = 0; number < division.partCount(); ++number) {
-        auto& tasks = parts[static_cast<std::size_t>(number)];
-        const auto last = written.find(number);
-        const bool isStored = last != written.end() || stored.contains(number);
-        if (number > 0 && tasks.empty() && !isStored)
-            continue;
-        auto record = fittingRecord({ .job = progress.job, .state = progress.state, .lanes = progress.lanes, .tasks = std::move(tasks) }, number);
-        auto digest = Common::contentDigest(record.value);
-        if (last != written.end() && last->second == digest)
-            continue;
-        written[number] = std::move(digest);
-        records.push_back(std::move(record));
-    }
-    return records;
+    if (progress.part > 0)
+        m_written[progress.job.value].insert(progress.part);
+    return { fittingRecord(progress) };
 }
 
 std::vector<Records::keyed_record> progress_writer::writeLast(const Jobs::job_progress& progress)
 {
-    std::set<int> parts;
+    auto parts = m_registry.partsOf(progress.job);
     if (const auto written = m_written.find(progress.job.value); written != m_written.end()) {
-        for (const auto& [number, digest] : written->second)
-            parts.insert(number);
+        parts.merge(written->second);
         m_written.erase(written);
     }
-    parts.merge(m_registry.laterPartsOf(progress.job));
     parts.erase(0);
     std::vector<Records::keyed_record> records { progressRecord(progress) };
     for (const int number : parts)
@@ -51,9 +30,9 @@
     return records;
 }
 
-Records::keyed_record progress_writer::fittingRecord(Jobs::job_progress progress, int part) const
+Records::keyed_record progress_writer::fittingRecord(Jobs::job_progress progress) const
 {
-    auto record = progressRecord(progress, part);
+    auto record = progressRecord(progress);
     while (Records::sizeInAppend(record) > m_limits.recordBytes) {
         const auto longest = std::max_element(progress.tasks.begin(), progress.tasks.end(),
             [](const auto& left, const auto& right) { return left.checkpoint.size() < right.checkpoint.size(); });
@@ -66,8 +45,8 @@
                 task.checkpoint.clear();
         }
         Common::writeEvent(Common::log_level::Warning, Common::log_category::Dispatch, "checkpoints_not_stored",
-            { { "job", progress.job.value }, { "part", std::to_string(part) }, { "longer_than", std::to_string(limit) } });
-        record = progressRecord(progress, part);
+            { { "job", progress.job.value }, { "part", std::to_string(progress.part) }, { "longer_than", std::to_string(limit) } });
+        record = progressRecord(progress);
     }
     return record;
 }
--- a/Source/Core/Dispatch/Dispatcher.cpp
+++ b/Source/Core/Dispatch/Dispatcher.cpp
@@ -103,16 +103,32 @@
     job->addedAt = now;
     if (!job->isLogged)
         m_neverStarted.insert(record.id.value);
-    for (const auto& task : progress.tasks) {
-        if (!task.isDone && !task.worker.empty())
-            inherit(*job, task, now);
-    }
+    inheritAll(*job, progress, now);
     if (record.spec.repetitions > 0)
         m_repeatedJobs.insert(job.get());
     indexJob(*job);
     m_jobs.emplace(record.id.value, std::move(job));
 }
 
+void dispatcher::addProgress(const Jobs::job_progress& progress, Common::instant now)
+{
+    auto* job = findJob(progress.job);
+    if (!job)
+        return;
+    job->restore(progress);
+    if (job->isLogged)
+        m_neverStarted.erase(progress.job.value);
+    inheritAll(*job, progress, now);
+}
+
+void dispatcher::inheritAll(open_job& job, const Jobs::job_progress& progress, Common::instant now)
+{
+    for (const auto& task : progress.tasks) {
+        if (!task.isDone && !task.worker.empty())
+            inherit(job, task, now);
+    }
+}
+
 void dispatcher::indexJob(open_job& job)
 {
     const auto* queue = queueOf(job);
@@ -218,9 +234,11 @@
         auto* job = findJob({ id });
         if (!job)
             continue;
-        batch.progress.push_back(job->progress());
-        // The batch may be stored even if that isn't answered.
-        job->isLogged = job->isLogged && Jobs::showsStart(batch.progress.back());
+        for (auto& part : job->takeProgress()) {
+            // The batch may be stored even if that isn't answered.
+            job->isLogged = job->isLogged && Jobs::showsStart(part);
+            batch.progress.push_back(std::move(part));
+        }
     }
     m_dirty.clear();
     batch.coveredEnds = std::move(m_uncommittedEnds);
--- a/Source/Core/Dispatch/Dispatcher.h
+++ b/Source/Core/Dispatch/Dispatcher.h
@@ -102,6 +102,8 @@
     /// `highestTakenLane` is the highest lane of run numbers that the log shows for other jobs with the same identifier of the
     /// caller; -1 for none.
     void addJob(const Jobs::job_record&, const Jobs::job_progress&, Common::instant now, int highestTakenLane = -1);
+    /// A further part of the progress of a job that was just added.
+    void addProgress(const Jobs::job_progress&, Common::instant now);
     void cancelJob(const Common::job_id&);
 
     /// How many starts the next plan may send. The others stay planned, and a gang is sent completely or not at all.
@@ -209,6 +211,7 @@
     /// All workers of the pool, in order of their ids.
     const std::vector<worker_state*>& workersOf(const Common::pool_id&) const;
     void indexJob(open_job&);
+    void inheritAll(open_job&, const Jobs::job_progress&, Common::instant now);
     void removeJob(const Common::job_id&);
     /// Finds or creates the state of a worker that may run tasks of an earlier leader, registered or not.
     worker_state& expectWorker(const Common::worker_id&, const Common::pool_id&, Common::instant now);
--- a/Source/Core/Dispatch/DispatcherCrashes.cpp
+++ b/Source/Core/Dispatch/DispatcherCrashes.cpp
@@ -109,6 +109,7 @@
         if (!task)
             continue;
         task->unresolvedRuns.insert(run.run);
+        job->noteProgress(run.task);
         m_dirty.insert(run.task.job.value);
     }
     m_losses.push_back(loss);
@@ -156,8 +157,9 @@
 {
     for (const auto& run : loss.runs) {
         auto* job = findJob(run.task.job);
-        if (auto* task = job ? job->find(run.task) : nullptr)
-            task->unresolvedRuns.erase(run.run);
+        auto* task = job ? job->find(run.task) : nullptr;
+        if (task && task->unresolvedRuns.erase(run.run) > 0)
+            job->noteProgress(run.task);
     }
 }
 
@@ -172,6 +174,7 @@
             const auto wait = job->spec(run.task).isLongRunning ? maxLongRunningEvidenceWait : maxEvidenceWait;
             if (now - loss.lostAt < wait || task->unresolvedRuns.erase(run.run) == 0)
                 continue;
+            job->noteProgress(run.task);
             // Without an address, nothing can show whether the worker crashed.
             if (loss.address.port == 0)
                 task->possibleCrashes.insert(run.run);
@@ -190,6 +193,7 @@
         auto* task = job && !Jobs::isFinal(job->state) ? job->noteLoss(run.task) : nullptr;
         if (!task || task->crashedRuns.contains(run.run))
             continue;
+        job->noteProgress(run.task);
         m_dirty.insert(run.task.job.value);
         if (run.hasBegun) {
             task->crashedRuns.insert(run.run);
@@ -242,6 +246,8 @@
     task.wasAlone = false;
     task.possibleCrashes.clear();
     task.isPrimeSuspect = false;
+    if (auto* job = findJob(name.job))
+        job->noteProgress(name);
     m_dirty.insert(name.job.value);
     observe({ .kind = dispatch_event_kind::CrashSuspicionCleared, .task = name, .worker = worker.entry.id });
 }
--- a/Source/Core/Dispatch/DispatcherNamesakes.cpp
+++ b/Source/Core/Dispatch/DispatcherNamesakes.cpp
@@ -45,6 +45,7 @@
     job.useLane(*lane);
     // Nothing starts in the lane before the log shows whose it is.
     job.isLogged = false;
+    job.noteState();
     m_dirty.insert(job.record().id.value);
     observe({ .kind = dispatch_event_kind::LaneRaised,
         .task = { .job = job.record().id },
--- a/Source/Core/Dispatch/DispatcherPlacements.cpp
+++ b/Source/Core/Dispatch/DispatcherPlacements.cpp
@@ -180,7 +180,7 @@
         return;
     }
     if (auto* job = findJob(progress.job))
-        job->isLogged = Jobs::showsStart(progress);
+        job->isLogged = job->isLogged || Jobs::showsStart(progress);
     for (const auto& task : progress.tasks) {
         const Jobs::task_name name { progress.job, task.occurrence, task.step, task.index };
         if (auto* run = findRun({ .task = name, .worker = task.worker, .run = { task.run } }))
@@ -198,7 +198,7 @@
             for (std::size_t step = 0; step < occurrence.steps.size(); ++step) {
                 const auto& state = occurrence.steps[step];
                 if (job->isReady(occurrence, static_cast<int>(step)))
-                    backlog.tasksWaiting += static_cast<int>(state.tasks.size()) - state.done - state.placed;
+                    backlog.tasksWaiting += state.waiting();
             }
         }
     }
--- a/Source/Core/Dispatch/DispatcherReplies.cpp
+++ b/Source/Core/Dispatch/DispatcherReplies.cpp
@@ -265,6 +265,7 @@
     }
     if (!end.checkpoint.empty()) {
         task->checkpoint = end.checkpoint;
+        job->noteProgress(end.task);
         m_dirty.insert(end.task.job.value);
     }
     if (isCurrent)
@@ -303,6 +304,7 @@
     if (task->phase == task_phase::Done || !task->failedRuns.insert(end.run).second)
         return;
     task->failedOn = worker.entry.id;
+    job.noteProgress(end.task);
     m_dirty.insert(job.record().id.value);
     const auto* queue = queueOf(job);
     if (queue && static_cast<int>(task->failedRuns.size()) >= queue->maxAttempts)
@@ -398,6 +400,7 @@
     if (job.state != Jobs::job_state::Pending)
         return;
     job.state = Jobs::job_state::Running;
+    job.noteState();
     m_dirty.insert(job.record().id.value);
 }
 
@@ -412,8 +415,10 @@
         run.progressedAt = now;
     }
     if (auto* job = findJob(name.job); job && !listed.checkpoint.empty()) {
-        if (auto* task = job->find(name))
+        if (auto* task = job->find(name)) {
             task->checkpoint = listed.checkpoint;
+            job->noteProgress(name);
+        }
     }
     if (run.phase == run_phase::Running && now - run.startedAt >= survivalTime) {
         auto* job = findJob(name.job);
@@ -459,20 +464,18 @@
     const auto& spec = job.spec(name);
     if (!spec.isLongRunning)
         return true;
-    const auto& tasks = job.occurrences()[name.occurrence].steps[static_cast<std::size_t>(name.step)].tasks;
-    int away = 0;
-    for (std::size_t index = 0; index < tasks.size(); ++index) {
-        if (static_cast<int>(index) == name.index)
+    int others = 0;
+    for (const auto& [index, task] : job.occurrences().at(name.occurrence).steps[static_cast<std::size_t>(name.step)].tracked()) {
+        if (index == name.index || task.phase != task_phase::Placed)
             continue;
-        const auto worker = m_workers.find(tasks[index].worker);
+        const auto worker = m_workers.find(task.worker);
         const auto other = taskAt(job.record(), name.occurrence, name.step, index);
         // A worker that doesn't answer may have crashed.
-        const bool isAtWork = tasks[index].phase == task_phase::Placed && worker != m_workers.end() && !worker->second.failedAt
-            && worker->second.runs.contains(other) && worker->second.runs.at(other).phase == run_phase::Running
-            && worker->second.runs.at(other).percent >= 100;
-        away += isAtWork ? 0 : 1;
+        const bool isAtWork = worker != m_workers.end() && !worker->second.failedAt && worker->second.runs.contains(other)
+            && worker->second.runs.at(other).phase == run_phase::Running && worker->second.runs.at(other).percent >= 100;
+        others += isAtWork ? 1 : 0;
     }
-    return away < spec.disruptionBudget;
+    return spec.count - 1 - others < spec.disruptionBudget;
 }
 
 void dispatcher::evictLongRunning(const Common::worker_id& id)
--- a/Source/Core/Dispatch/DispatcherStarts.cpp
+++ b/Source/Core/Dispatch/DispatcherStarts.cpp
@@ -126,7 +126,7 @@
         .excluded = workersOfNamesakes(job) };
     if (spec.maxPerWorker <= 0 && !spec.isRackSensitive)
         return request;
-    for (const auto& task : job.occurrences()[occurrence].steps[static_cast<std::size_t>(step)].tasks) {
+    for (const auto& [index, task] : job.occurrences().at(occurrence).steps[static_cast<std::size_t>(step)].tracked()) {
         if (task.phase != task_phase::Placed)
             continue;
         ++counts[task.worker];
@@ -195,18 +195,16 @@
 {
     std::map<Common::worker_id, int> counts;
     auto request = requestFor(job, occurrence, step, counts, pass.now);
-    auto& tasks = job.occurrences()[occurrence].steps[static_cast<std::size_t>(step)].tasks;
+    const auto& tasks = job.occurrences().at(occurrence).steps[static_cast<std::size_t>(step)];
     const auto stopping = tasksBeingStopped(job.record().id);
-    const auto isStopping = [&](std::size_t index) {
-        return !stopping.empty() && stopping.contains(taskAt(job.record(), occurrence, step, index));
-    };
-    for (std::size_t index = 0; index < tasks.size(); ++index) {
-        auto& task = tasks[index];
-        if (!mayStart(task, pass.now) || isStopping(index))
+    for (auto next = tasks.nextWaiting(0); next; next = tasks.nextWaiting(*next + 1)) {
+        const auto name = taskAt(job.record(), occurrence, step, *next);
+        const auto* known = tasks.find(*next);
+        if ((known && !mayStart(*known, pass.now)) || stopping.contains(name))
             continue;
         if (!m_usage.allows(m_rules, job.record().team, request.step->request))
             return;
-        request.avoided = task.failedOn;
+        request.avoided = known ? known->failedOn : Common::worker_id();
         auto* worker = pass.workers.choose(request);
         if (request.isSuspect && !mayUseForSuspect(worker, job, pass)) {
             reserveForProbation(request, job, pass);
@@ -218,8 +216,8 @@
         ++counts[worker->entry.id];
         if (request.step->isRackSensitive && request.rack.empty())
             request.rack = worker->entry.rack;
-        const run_number run { task.lastRun.value + 1 };
-        planStart(job, taskAt(job.record(), occurrence, step, index), *worker, run, pass.now);
+        const run_number run { job.find(name)->lastRun.value + 1 };
+        planStart(job, name, *worker, run, pass.now);
         if (request.isSuspect && beginProbation(*worker, job, pass.now))
             ++pass.probations;
         pass.workers.update(*worker);
@@ -228,26 +226,26 @@
 
 void dispatcher::planGang(open_job& job, int occurrence, int step, placement_index& workers, Common::instant now)
 {
-    auto& tasks = job.occurrences()[occurrence].steps[static_cast<std::size_t>(step)].tasks;
+    const auto& tasks = job.occurrences().at(occurrence).steps[static_cast<std::size_t>(step)];
     const auto stopping = tasksBeingStopped(job.record().id);
-    const auto isStopping = [&](std::size_t index) {
-        return !stopping.empty() && stopping.contains(taskAt(job.record(), occurrence, step, index));
-    };
-    run_number run;
-    for (std::size_t index = 0; index < tasks.size(); ++index) {
-        if (!mayStart(tasks[index], now) || isStopping(index))
+    // All members have the same run number.
+    run_number run = job.firstRun();
+    for (int index = 0; index < tasks.count(); ++index) {
+        const auto* known = tasks.find(index);
+        const bool mayStartMember = known ? mayStart(*known, now) : !tasks.isTaskDone(index);
+        if (!mayStartMember || stopping.contains(taskAt(job.record(), occurrence, step, index)))
             return;
-        run = std::max(run, tasks[index].lastRun);
+        run = std::max(run, known ? known->lastRun : run);
     }
     ++run.value;
     std::map<Common::worker_id, int> counts;
     auto request = requestFor(job, occurrence, step, counts, now);
-    const auto total = Jobs::times(request.step->request, static_cast<std::int64_t>(tasks.size()));
+    const auto total = Jobs::times(request.step->request, tasks.count());
     if (!m_usage.allows(m_rules, job.record().team, total))
         return;
     // The placement is tried first, since a gang is started completely or not at all.
     std::vector<worker_state*> chosen;
-    for (std::size_t index = 0; index < tasks.size(); ++index) {
+    for (int index = 0; index < tasks.count(); ++index) {
         auto* worker = workers.choose(request);
         if (!worker)
             break;
@@ -258,11 +256,12 @@
         chosen.push_back(worker);
     }
     workers.endTrial();
-    if (chosen.size() < tasks.size())
+    if (static_cast<int>(chosen.size()) < tasks.count())
         return;
-    for (std::size_t index = 0; index < tasks.size(); ++index) {
-        planStart(job, taskAt(job.record(), occurrence, step, index), *chosen[index], run, now);
-        workers.update(*chosen[index]);
+    for (int index = 0; index < tasks.count(); ++index) {
+        auto& worker = *chosen[static_cast<std::size_t>(index)];
+        planStart(job, taskAt(job.record(), occurrence, step, index), worker, run, now);
+        workers.update(worker);
     }
 }
 
--- a/Source/Core/Dispatch/OpenJob.cpp
+++ b/Source/Core/Dispatch/OpenJob.cpp
@@ -4,6 +4,7 @@
 
 #include <algorithm>
 #include <limits>
+#include <utility>
 
 namespace Dispatch {
 
@@ -51,20 +52,30 @@
 
 open_job::open_job(const Jobs::job_record& record, const Jobs::job_progress& progress, run_number base)
     : state(progress.state)
-    , isLogged(Jobs::showsStart(progress))
     , m_record(record)
     , m_lanes(progress.lanes.empty() ? std::vector<int> { 0 } : progress.lanes)
     , m_termBase(base)
+    , m_division(record.spec)
     , m_hasLongRunningTasks(std::any_of(record.spec.steps.begin(), record.spec.steps.end(),
           [](const auto& step) { return step.isLongRunning; }))
 {
     if (m_record.spec.repetitions <= 0)
         open(0);
+    restore(progress);
+}
+
+void open_job::restore(const Jobs::job_progress& progress)
+{
+    isLogged = isLogged || Jobs::showsStart(progress);
     for (const auto& known : progress.tasks) {
-        if (known.occurrence < 0 || known.occurrence >= occurrenceCount())
+        if (known.occurrence < 0 || known.occurrence >= occurrenceCount() || isOccurrenceDone(known.occurrence))
             continue;
         open(known.occurrence);
         const Jobs::task_name name { m_record.id, known.occurrence, known.step, known.index };
+        if (known.isDone) {
+            finish(name);
+            continue;
+        }
         auto* task = find(name);
         if (!task)
             continue;
@@ -77,9 +88,8 @@
         task->isPrimeSuspect = !task->crashedRuns.empty();
         m_hasLosses = m_hasLosses || !known.crashedRuns.empty();
         task->checkpoint = known.checkpoint;
-        if (known.isDone)
-            finish(name);
     }
+    m_changedParts.clear();
 }
 
 run_number open_job::firstRun() const { return { Jobs::firstNumberOf(m_lanes.back()) + m_termBase.value }; }
@@ -89,7 +99,7 @@
     m_lanes.push_back(lane);
     for (auto& [number, occurrence] : m_occurrences) {
         for (auto& step : occurrence.steps) {
-            for (auto& task : step.tasks)
+            for (auto& [index, task] : step.tracked())
                 task.lastRun = std::max(task.lastRun, firstRun());
         }
     }
@@ -97,42 +107,60 @@
 
 int open_job::occurrenceCount() const { return std::max(1, m_record.spec.repetitions); }
 
+bool open_job::isOccurrenceDone(int occurrence) const
+{
+    return occurrence < m_doneBelow || m_doneOccurrences.contains(occurrence);
+}
+
+void open_job::closeIfDone(int occurrence)
+{
+    const auto open = m_occurrences.find(occurrence);
+    const auto isStepDone = [](const step_state& step) { return step.isDone(); };
+    if (!std::all_of(open->second.steps.begin(), open->second.steps.end(), isStepDone))
+        return;
+    m_occurrences.erase(open);
+    m_doneOccurrences.insert(occurrence);
+    while (m_doneOccurrences.erase(m_doneBelow) > 0)
+        ++m_doneBelow;
+}
+
 occurrence_state& open_job::open(int occurrence)
 {
     auto& opened = m_occurrences[occurrence];
     if (!opened.steps.empty())
         return opened;
     noteChange();
-    for (const auto& step : m_record.spec.steps) {
-        task_state fresh;
-        fresh.lastRun = firstRun();
-        opened.steps.push_back({ .tasks = std::vector<task_state>(static_cast<std::size_t>(step.count), fresh) });
-    }
+    for (const auto& step : m_record.spec.steps)
+        opened.steps.emplace_back(step.count);
     return opened;
 }
 
 void open_job::openDue(Common::wall_millis now)
 {
     const auto& spec = m_record.spec;
-    for (int occurrence = 0; occurrence < spec.repetitions; ++occurrence) {
-        if (spec.firstStart.value + occurrence * spec.interval.count() > now.value)
+    const auto limit = std::max<std::size_t>(1, maxOpenSteps / std::max<std::size_t>(1, spec.steps.size()));
+    for (; m_nextOccurrence < spec.repetitions && m_occurrences.size() < limit; ++m_nextOccurrence) {
+        if (spec.firstStart.value + m_nextOccurrence * spec.interval.count() > now.value)
             return;
-        open(occurrence);
+        if (!isOccurrenceDone(m_nextOccurrence))
+            open(m_nextOccurrence);
     }
 }
 
 task_state* open_job::find(const Jobs::task_name& name)
 {
-    const auto occurrence = m_occurrences.find(name.occurrence);
-    if (occurrence == m_occurrences.end() || name.step < 0 || name.index < 0)
-        return nullptr;
-    auto& steps = occurrence->second.steps;
-    if (name.step >= static_cast<int>(steps.size()))
+    const int steps = static_cast<int>(m_record.spec.steps.size());
+    if (name.step < 0 || name.step >= steps || name.index < 0 || name.index >= spec(name).count)
         return nullptr;
-    auto& tasks = steps[static_cast<std::size_t>(name.step)].tasks;
-    if (name.index >= static_cast<int>(tasks.size()))
+    const auto occurrence = m_occurrences.find(name.occurrence);
+    const bool isOpen = occurrence != m_occurrences.end();
+    if (!isOpen && (name.occurrence < 0 || !isOccurrenceDone(name.occurrence)))
         return nullptr;
-    return &tasks[static_cast<std::size_t>(name.index)];
+    auto* step = isOpen ? &occurrence->second.steps[static_cast<std::size_t>(name.step)] : nullptr;
+    if (step && !step->isTaskDone(name.index))
+        return &step->track(name.index, firstRun());
+    m_finishedTask = { .phase = task_phase::Done };
+    return &m_finishedTask;
 }
 
 bool open_job::isReady(const occurrence_state& occurrence, int step) const
@@ -144,17 +172,7 @@
     });
 }
 
-bool open_job::isComplete() const
-{
-    if (static_cast<int>(m_occurrences.size()) < occurrenceCount())
-        return false;
-    for (const auto& [number, occurrence] : m_occurrences) {
-        if (!std::all_of(occurrence.steps.begin(), occurrence.steps.end(),
-                [](const step_state& step) { return step.isDone(); }))
-            return false;
-    }
-    return true;
-}
+bool open_job::isComplete() const { return m_doneBelow >= occurrenceCount(); }
 
 task_state* open_job::noteLoss(const Jobs::task_name& name)
 {
@@ -169,14 +187,14 @@
 {
     if (!m_hasLosses)
         return false;
-    const auto isSuspectTask = [](const task_state& task) {
-        return task.phase != task_phase::Done
-            && (task.isPrimeSuspect || task.crashedRuns.size() + task.unresolvedRuns.size() > 1);
+    const auto isSuspectTask = [](const auto& tracked) {
+        const auto& task = tracked.second;
+        return task.isPrimeSuspect || task.crashedRuns.size() + task.unresolvedRuns.size() > 1;
     };
     return std::any_of(m_occurrences.begin(), m_occurrences.end(), [&isSuspectTask](const auto& occurrence) {
         const auto& steps = occurrence.second.steps;
         return std::any_of(steps.begin(), steps.end(), [&isSuspectTask](const step_state& step) {
-            return std::any_of(step.tasks.begin(), step.tasks.end(), isSuspectTask);
+            return std::any_of(step.tracked().begin(), step.tracked().end(), isSuspectTask);
         });
     });
 }
@@ -185,13 +203,13 @@
 {
     auto* task = find(name);
     noteChange();
-    task->phase = task_phase::Placed;
+    noteProgress(name);
     task->worker = where.worker;
     task->incarnation = where.startedAt;
     task->run = run;
     task->awaitsConfirmation = false;
     task->lastRun = std::max(task->lastRun, run);
-    ++m_occurrences[name.occurrence].steps[static_cast<std::size_t>(name.step)].placed;
+    m_occurrences[name.occurrence].steps[static_cast<std::size_t>(name.step)].place(name.index);
 }
 
 void open_job::release(const Jobs::task_name& name, Common::instant notBefore)
@@ -200,36 +218,53 @@
     if (!task || task->phase != task_phase::Placed)
         return;
     noteChange();
-    task->phase = task_phase::Waiting;
+    noteProgress(name);
     task->notBefore = notBefore;
-    --m_occurrences[name.occurrence].steps[static_cast<std::size_t>(name.step)].placed;
+    m_occurrences[name.occurrence].steps[static_cast<std::size_t>(name.step)].release(name.index);
 }
 
 void open_job::finish(const Jobs::task_name& name)
 {
-    auto* task = find(name);
+    const auto* task = find(name);
     if (!task || task->phase == task_phase::Done)
         return;
     noteChange();
-    auto& step = m_occurrences[name.occurrence].steps[static_cast<std::size_t>(name.step)];
-    if (task->phase == task_phase::Placed)
-        --step.placed;
-    task->phase = task_phase::Done;
-    ++step.done;
+    noteProgress(name);
+    m_occurrences[name.occurrence].steps[static_cast<std::size_t>(name.step)].finish(name.index);
+    closeIfDone(name.occurrence);
 }
 
-Jobs::job_progress open_job::progress() const
+void open_job::noteProgress(const Jobs::task_name& name)
 {
-    Jobs::job_progress progress { .job = m_record.id, .state = state, .lanes = m_lanes };
+    m_changedParts.insert(m_division.partOf({ .occurrence = name.occurrence, .step = name.step, .index = name.index }));
+}
+
+std::vector<Jobs::job_progress> open_job::takeProgress()
+{
+    std::vector<Jobs::job_progress> parts;
+    const auto changed = std::exchange(m_changedParts, {});
     if (Jobs::isFinal(state))
-        return progress;
-    for (const auto& [number, occurrence] : m_occurrences) {
-        for (std::size_t step = 0; step < occurrence.steps.size(); ++step) {
-            const auto& tasks = occurrence.steps[step].tasks;
-            for (std::size_t index = 0; index < tasks.size(); ++index) {
-                if (hasProgress(tasks[index]))
-                    progress.tasks.push_back(progressOf(taskAt(m_record, number, static_cast<int>(step), index), tasks[index]));
-            }
+        return { { .job = m_record.id, .state = state, .lanes = m_lanes } };
+    for (const int part : changed)
+        parts.push_back(progressOfPart(part));
+    return parts;
+}
+
+Jobs::job_progress open_job::progressOfPart(int part) const
+{
+    Jobs::job_progress progress { .job = m_record.id, .state = state, .lanes = m_lanes, .part = part };
+    for (const auto& range : m_division.rangesOf(part)) {
+        const auto open = m_occurrences.find(range.occurrence);
+        const bool isDone = isOccurrenceDone(range.occurrence);
+        if (open == m_occurrences.end() && !isDone)
+            continue;
+        for (int index = range.first; index < range.last; ++index) {
+            const Jobs::task_name name { m_record.id, range.occurrence, range.step, index };
+            const auto* step = isDone ? nullptr : &open->second.steps[static_cast<std::size_t>(range.step)];
+            if (!step || step->isTaskDone(index))
+                progress.tasks.push_back(progressOf(name, { .phase = task_phase::Done }));
+            else if (const auto* task = step->find(index); task && hasProgress(*task))
+                progress.tasks.push_back(progressOf(name, *task));
         }
     }
     return progress;
@@ -275,18 +310,18 @@
         for (std::size_t step = 0; step < occurrence.steps.size(); ++step) {
             const auto& state = occurrence.steps[step];
             const auto& spec = m_record.spec.steps[step];
-            const auto open = static_cast<std::int64_t>(state.tasks.size()) - state.done - state.placed;
+            const std::int64_t open = state.waiting();
             const bool isStepReady = isReady(occurrence, static_cast<int>(step));
             if (open > 0 && isStepReady)
                 summary.readySteps.push_back({ .occurrence = number, .step = static_cast<int>(step) });
             if (spec.isBestEffort)
                 continue;
-            const auto unfinished = static_cast<int>(state.tasks.size()) - state.done;
+            const int unfinished = state.count() - state.done();
             if (spec.maxPerWorker > 0 && isStepReady)
                 summary.workersForSpread = std::max(
                     summary.workersForSpread, (unfinished + spec.maxPerWorker - 1) / spec.maxPerWorker);
             (isStepReady ? summary.waiting : summary.blocked) += Jobs::times(spec.request, open);
-            summary.placed += Jobs::times(spec.request, state.placed);
+            summary.placed += Jobs::times(spec.request, state.placed());
         }
     }
     return summary;
@@ -309,9 +344,9 @@
     return longest;
 }
 
-Jobs::task_name taskAt(const Jobs::job_record& job, int occurrence, int step, std::size_t index)
+Jobs::task_name taskAt(const Jobs::job_record& job, int occurrence, int step, int index)
 {
-    return { .job = job.id, .occurrence = occurrence, .step = step, .index = static_cast<int>(index) };
+    return { .job = job.id, .occurrence = occurrence, .step = step, .index = index };
 }
 
 }
--- a/Source/Core/Dispatch/OpenJob.h
+++ b/Source/Core/Dispatch/OpenJob.h
@@ -1,6 +1,6 @@
 #pragma once
 
-#include "Dispatch/Orders.h"
+#include "Dispatch/StepState.h"
 #include "Rules/FleetRules.h"
 
 #include <map>
@@ -10,55 +10,15 @@
 
 namespace Dispatch {
 
-enum class task_phase {
-    Waiting,
-    /// Starting, running or stopping on a worker.
-    Placed,
-    Done
-};
-
-struct task_state {
-    task_phase phase { task_phase::Waiting };
-    /// Worker, its incarnation, and run of the present placement.
-    Common::worker_id worker;
-    Common::wall_millis incarnation;
-    run_number run;
-    run_number lastRun;
-    std::set<run_number> failedRuns;
-    /// Runs that had begun and were lost when their worker crashed, and how many of them had just started.
-    std::set<run_number> crashedRuns;
-    std::size_t startCrashes { 0 };
-    /// One of these was on probation for the job.
-    bool wasAlone { false };
-    /// Runs that were lost with a crashed worker that may not have begun them.
-    std::set<run_number> possibleCrashes;
-    /// Runs whose worker stopped answering; whether it crashed isn't known yet.
-    std::set<run_number> unresolvedRuns;
-    /// Was among the last tasks that a worker started before it crashed.
-    bool isPrimeSuspect { false };
-    std::string checkpoint;
-    /// Worker on which the task failed last; avoided while others are eligible.
-    Common::worker_id failedOn;
-    Common::instant notBefore;
-    /// Lost while another leader may already have logged its end; not restarted until our leadership is confirmed.
-    bool awaitsConfirmation { false };
-};
-
 /// A task is given up when this many workers have crashed just after they started it, one of them on probation for its job.
 constexpr std::size_t maxStartCrashes = 2;
 /// A task is also given up when this many workers have crashed that may have run it.
 constexpr std::size_t maxPossibleCrashes = 4;
+/// A job with more occurrences due has at most this many steps open at a time, and at least one occurrence.
+constexpr int maxOpenSteps = 4096;
 /// A task that has run for this long doesn't crash its worker.
 constexpr Common::millis survivalTime { 3000 };
 
-struct step_state {
-    std::vector<task_state> tasks;
-    int done { 0 };
-    int placed { 0 };
-
-    bool isDone() const { return done == static_cast<int>(tasks.size()); }
-};
-
 struct occurrence_state {
     std::vector<step_state> steps;
 };
@@ -95,10 +55,14 @@
     {
         return m_record.spec.steps[static_cast<std::size_t>(name.step)];
     }
-    /// Null when the job has no such task, or its occurrence isn't due yet.
+    /// Applies what the log has of some tasks, on top of what was applied before.
+    void restore(const Jobs::job_progress&);
+    /// Null when the job has no such task, or its occurrence isn't open yet. The state of a task that is done is valid until the
+    /// next call; changes to it have no effect.
     task_state* find(const Jobs::task_name&);
-    /// Creates the tasks of the occurrences that are due at `now`.
+    /// Opens occurrences that are due at `now`, as many at a time as the bound of open steps allows.
     void openDue(Common::wall_millis now);
+    /// Occurrences that are open and not complete.
     std::map<int, occurrence_state>& occurrences() { return m_occurrences; }
     /// Whether all steps that the step depends on have completed.
     bool isReady(const occurrence_state&, int step) const;
@@ -122,9 +86,16 @@
     void release(const Jobs::task_name&, Common::instant notBefore);
     void finish(const Jobs::task_name&);
 
-    Jobs::job_progress progress() const;
+    /// The task's progress differs from what was last taken.
+    void noteProgress(const Jobs::task_name&);
+    /// The job's state, or what else its first part shows, differs from it.
+    void noteState() { m_changedParts.insert(0); }
+    /// The parts of the progress that have changed since the last call; of a job that is finished only its state.
+    std::vector<Jobs::job_progress> takeProgress();
     /// Lanes of the job's run numbers, the present one last.
     const std::vector<int>& lanes() const { return m_lanes; }
+    /// This leader's run numbers in the present lane are higher.
+    run_number firstRun() const;
     /// From now on, runs have numbers of this lane, which is higher than the others.
     void useLane(int lane);
 
@@ -145,16 +116,26 @@
 private:
     occurrence_state& open(int occurrence);
     int occurrenceCount() const;
+    bool isOccurrenceDone(int occurrence) const;
+    /// A finished occurrence is kept as its number only.
+    void closeIfDone(int occurrence);
+    Jobs::job_progress progressOfPart(int part) const;
     job_summary summarize() const;
     Common::wall_millis lateAfter() const;
 
-    /// This leader's run numbers in the present lane are higher.
-    run_number firstRun() const;
-
     Jobs::job_record m_record;
     std::vector<int> m_lanes;
     run_number m_termBase;
+    Jobs::progress_division m_division;
+    /// Parts of the progress to be stored.
+    std::set<int> m_changedParts;
     std::map<int, occurrence_state> m_occurrences;
+    /// All occurrences below `m_doneBelow` are done, and those in the set.
+    int m_doneBelow { 0 };
+    std::set<int> m_doneOccurrences;
+    /// Occurrences from this one on haven't been looked at by `openDue`.
+    int m_nextOccurrence { 0 };
+    task_state m_finishedTask;
     bool m_hasLongRunningTasks { false };
     /// A run of a task was lost with its worker.
     bool m_hasLosses { false };
@@ -167,6 +148,6 @@
 Common::millis criticalPath(const Jobs::job_spec&, const occurrence_state* done = nullptr);
 
 /// Name of the task at `index` in a step.
-Jobs::task_name taskAt(const Jobs::job_record&, int occurrence, int step, std::size_t index);
+Jobs::task_name taskAt(const Jobs::job_record&, int occurrence, int step, int index);
 
 }
--- a/Source/Core/Jobs/Job.h
+++ b/Source/Core/Jobs/Job.h
@@ -120,6 +120,8 @@
     job_state state { job_state::Pending };
     /// Lanes of the job's run numbers, the present one last; empty as long as none is known.
     std::vector<int> lanes;
+    /// Number of the part, in the division of the job's progress.
+    int part { 0 };
     /// Tasks that are done, placed, failed before or have a checkpoint; the others have nothing to store.
     std::vector<task_progress> tasks;
 
@@ -148,8 +150,15 @@
     int partCount() const;
     /// Number of the part that holds the task, from 0.
     int partOf(const task_progress&) const;
-    /// The tasks by part; the parts without tasks are empty.
-    std::vector<std::vector<task_progress>> divide(const job_progress&) const;
+    /// Tasks of one step in one occurrence: the first index, and the one after the last.
+    struct task_range {
+        int occurrence { 0 };
+        int step { 0 };
+        int first { 0 };
+        int last { 0 };
+    };
+    /// The tasks of a part, in their order.
+    std::vector<task_range> rangesOf(int part) const;
 
 private:
     /// Number of the first task of each step, in an occurrence.
--- a/Source/Core/Jobs/JobRegistry.cpp
+++ b/Source/Core/Jobs/JobRegistry.cpp
@@ -12,20 +12,12 @@
         return left.acceptedAt != right.acceptedAt ? left.acceptedAt < right.acceptedAt : left.id < right.id;
     }
 
-    bool usesFirstLane(const known_job& job) { return !job.progress.lanes.empty() && job.progress.lanes.front() == 0; }
+    bool usesFirstLane(const known_job& job) { return !job.lanes.empty() && job.lanes.front() == 0; }
 
     job_state later(job_state left, job_state right) { return isFinal(left) ? left : std::max(left, right); }
 
 }
 
-job_progress known_job::wholeProgress() const
-{
-    auto whole = progress;
-    for (const auto& [number, tasks] : laterParts)
-        whole.tasks.insert(whole.tasks.end(), tasks.begin(), tasks.end());
-    return whole;
-}
-
 bool job_registry::accept(job_record record)
 {
     auto& job = m_jobs[record.id.value];
@@ -33,6 +25,8 @@
     if (job.record)
         return false;
     job.record = std::move(record);
+    if (isFinal(job.state))
+        finish(job);
     const auto scope = scopeOf(*job.record);
     const auto [first, last] = m_earlyCancellations.equal_range(callerIdOf(job.record->id).value);
     for (auto entry = first; entry != last;) {
@@ -67,35 +61,42 @@
     return std::any_of(first, last, [&scope](const auto& entry) { return entry.second == scope; });
 }
 
-void job_registry::replacePart(known_job& job, job_progress progress, int part)
+void job_registry::replacePart(known_job& job, job_progress progress)
 {
-    if (!progress.lanes.empty())
-        job.progress.lanes = progress.lanes;
+    // A job's lanes only become more. Its parts were stored at different times.
+    if (progress.lanes.size() > job.lanes.size())
+        job.lanes = progress.lanes;
+    job.hasState = true;
     // The leader applies a final state before it reads its own, possibly older, records back.
-    if (isFinal(job.progress.state))
-        return;
-    if (part > 0) {
-        job.progress.job = progress.job;
-        job.laterParts[part] = std::move(progress.tasks);
+    if (isFinal(job.state))
         return;
-    }
-    job.progress = std::move(progress);
-    job.hasFirstPart = true;
-    if (isFinal(job.progress.state))
-        job.laterParts.clear();
+    if (progress.part == 0)
+        job.state = progress.state;
+    if (isFinal(job.state))
+        finish(job);
+    else
+        job.parts.insert_or_assign(progress.part, stored_tasks(std::move(progress.tasks)));
+}
+
+void job_registry::finish(known_job& job)
+{
+    job.parts.clear();
+    // Callers ask for the state only.
+    if (job.record)
+        job.record->spec = {};
 }
 
-void job_registry::advance(job_progress progress, int part)
+void job_registry::advance(job_progress progress)
 {
     if (!hasScope(progress.job)) {
         auto& unscoped = m_unscoped[progress.job.value];
-        replacePart(unscoped, std::move(progress), part);
+        replacePart(unscoped, std::move(progress));
         return;
     }
     if (usesCallerKey(progress))
-        dropUnscopedPart(callerIdOf(progress.job), part);
+        dropUnscopedPart(callerIdOf(progress.job), progress.part);
     auto& job = m_jobs[progress.job.value];
-    replacePart(job, std::move(progress), part);
+    replacePart(job, std::move(progress));
 }
 
 void job_registry::dropUnscopedPart(const Common::caller_job_id& id, int part)
@@ -104,36 +105,34 @@
     if (found == m_unscoped.end())
         return;
     auto& job = found->second;
+    job.parts.erase(part);
     if (part == 0) {
-        job.progress = {};
-        job.hasFirstPart = false;
-    } else {
-        job.laterParts.erase(part);
+        job.state = job_state::Pending;
+        job.hasState = false;
     }
-    if (!job.hasFirstPart && job.laterParts.empty() && !job.isCancelled)
+    if (!job.hasState && job.parts.empty() && !job.isCancelled)
         m_unscoped.erase(found);
 }
 
 bool job_registry::noteState(const Common::job_id& id, job_state state)
 {
     const auto note = [&](known_job& job) {
-        job.progress.job = id;
+        job.hasState = true;
         // Progress that was read first may be newer.
-        job.progress.state = later(job.progress.state, state);
+        job.state = later(job.state, state);
+        if (isFinal(job.state))
+            finish(job);
         return true;
     };
     if (hasScope(id)) {
         const auto copy = m_unscoped.find(callerIdOf(id).value);
-        const bool isStateOnly = copy != m_unscoped.end() && !copy->second.hasFirstPart && copy->second.laterParts.empty()
-            && !copy->second.isCancelled;
-        if (isStateOnly)
+        if (copy != m_unscoped.end() && copy->second.parts.empty() && !copy->second.isCancelled)
             m_unscoped.erase(copy);
         return note(m_jobs[id.value]);
     }
     const auto [first, last] = namesakes({ id.value });
-    const bool isKnown = std::any_of(first, last, [state](const auto& entry) {
-        return !entry.second.progress.job.empty() && entry.second.progress.state == state;
-    });
+    const bool isKnown = std::any_of(first, last,
+        [state](const auto& entry) { return entry.second.hasState && entry.second.state == state; });
     return !isKnown && note(m_unscoped[id.value]);
 }
 
@@ -143,7 +142,7 @@
         visit({ job->first }, progressStateOf(job));
     for (const auto& [id, job] : m_unscoped) {
         if (ownerOf({ id }) == m_jobs.end())
-            visit({ id }, job.progress.state);
+            visit({ id }, job.state);
     }
 }
 
@@ -195,8 +194,8 @@
 job_state job_registry::progressStateOf(job_map::const_iterator job) const
 {
     const auto* unscoped = unscopedOf(job);
-    const auto state = job->second.progress.state;
-    return unscoped ? later(state, unscoped->progress.state) : state;
+    const auto state = job->second.state;
+    return unscoped ? later(state, unscoped->state) : state;
 }
 
 bool job_registry::isCancelled(job_map::const_iterator job) const
@@ -231,37 +230,52 @@
 }
 
 job_progress job_registry::progressOf(const Common::job_id& id) const
+{
+    job_progress whole { .job = id };
+    visitProgress(id, [&whole](const job_progress& part) {
+        whole.job = part.job;
+        whole.state = part.state;
+        whole.lanes = part.lanes;
+        whole.tasks.insert(whole.tasks.end(), part.tasks.begin(), part.tasks.end());
+    });
+    return whole;
+}
+
+void job_registry::visitProgress(
+    const Common::job_id& id, const std::function<void(const job_progress&)>& visit) const
 {
     const auto found = locate(id);
     if (found == m_jobs.end())
-        return { .job = id };
-    auto job = found->second;
-    if (const auto* unscoped = unscopedOf(found)) {
-        const auto state = later(job.progress.state, unscoped->progress.state);
-        if (unscoped->hasFirstPart)
-            job.progress = unscoped->progress;
-        job.progress.state = state;
-        for (const auto& [part, tasks] : unscoped->laterParts)
-            job.laterParts[part] = tasks;
+        return;
+    const auto* unscoped = unscopedOf(found);
+    job_progress progress { .job = { found->first }, .state = progressStateOf(found), .lanes = found->second.lanes };
+    if (unscoped && progress.lanes.empty())
+        progress.lanes = unscoped->lanes;
+    const auto parts = partsOf(id);
+    for (const int part : parts) {
+        // Each part of the unscoped progress is newer than the job's own.
+        const bool isUnscoped = unscoped && unscoped->parts.contains(part);
+        progress.part = part;
+        progress.tasks = (isUnscoped ? *unscoped : found->second).parts.at(part).all();
+        visit(progress);
     }
-    auto whole = job.wholeProgress();
-    whole.job = { found->first };
-    return whole;
+    if (parts.empty())
+        visit(progress);
 }
 
-std::set<int> job_registry::laterPartsOf(const Common::job_id& id) const
+std::set<int> job_registry::partsOf(const Common::job_id& id) const
 {
-    std::set<int> parts;
+    std::set<int> numbers;
     const auto found = locate(id);
     if (found == m_jobs.end())
-        return parts;
-    for (const auto& [part, tasks] : found->second.laterParts)
-        parts.insert(part);
+        return numbers;
+    for (const auto& [part, tasks] : found->second.parts)
+        numbers.insert(part);
     if (const auto* unscoped = unscopedOf(found)) {
-        for (const auto& [part, tasks] : unscoped->laterParts)
-            parts.insert(part);
+        for (const auto& [part, tasks] : unscoped->parts)
+            numbers.insert(part);
     }
-    return parts;
+    return numbers;
 }
 
 std::optional<job_state> job_registry::stateOf(const Common::job_id& id) const
@@ -280,14 +294,14 @@
     for (auto job = first; job != last; ++job) {
         if (job->first == id.value)
             continue;
-        for (const int lane : job->second.progress.lanes)
+        for (const int lane : job->second.lanes)
             highest = std::max(highest, lane);
         // Its lanes may be in records of earlier versions.
         if (progressStateOf(job) != job_state::Pending)
             highest = std::max(highest, 0);
     }
     const auto unscoped = m_unscoped.find(callerIdOf(id).value);
-    const bool isOfOther = unscoped != m_unscoped.end() && !unscoped->second.progress.job.empty()
+    const bool isOfOther = unscoped != m_unscoped.end() && unscoped->second.hasState
         && ownerOf(callerIdOf(id)) != m_jobs.find(id.value);
     return isOfOther ? std::max(highest, 0) : highest;
 }
--- a/Source/Core/Jobs/JobRegistry.h
+++ b/Source/Core/Jobs/JobRegistry.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "Jobs/JobNames.h"
+#include "Jobs/StoredTasks.h"
 
 #include <functional>
 #include <map>
@@ -16,15 +17,13 @@
     /// Empty while only a cancellation or progress has been seen.
     std::optional<job_record> record;
     bool isCancelled { false };
-    /// State of the job, and the first part of its progress.
-    job_progress progress;
-    /// The first part has been read, not just a published state.
-    bool hasFirstPart { false };
-    /// Tasks of the other parts, by number.
-    std::map<int, std::vector<task_progress>> laterParts;
-
-    /// State and tasks of all parts.
-    job_progress wholeProgress() const;
+    job_state state { job_state::Pending };
+    /// A state was published, or progress stored.
+    bool hasState { false };
+    /// Lanes of its run numbers; empty as long as none is known.
+    std::vector<int> lanes;
+    /// Parts of its progress, by number.
+    std::map<int, stored_tasks> parts;
 };
 
 /// All jobs in the log. Depends only on the records, not on the order in which the topics are read.
@@ -42,8 +41,8 @@
     std::optional<Common::job_id> cancel(const Common::caller_job_id&, const caller_scope&);
     /// Whether this cancellation is kept for a job that isn't known.
     bool awaitsJob(const Common::caller_job_id&, const caller_scope&) const;
-    /// Replaces one part of a job's progress. The first one has the state of the job.
-    void advance(job_progress, int part = 0);
+    /// Replaces one part of a job's progress. Part 0 has the state of the job.
+    void advance(job_progress);
     /// Notes a published state. What is known of the job's tasks stays. False for a copy of a state that is known, under the
     /// caller's identifier alone.
     bool noteState(const Common::job_id&, job_state);
@@ -57,10 +56,12 @@
     /// The job that a caller with this scope names.
     const job_record* find(const Common::caller_job_id&, const caller_scope&) const;
     bool isCancelled(const Common::job_id&) const;
-    /// State and tasks of all parts of the progress.
+    /// State and tasks of all parts of the progress. Takes memory for each task; see `visitProgress`.
     job_progress progressOf(const Common::job_id&) const;
-    /// Numbers of the parts of the progress that are stored, without the first.
-    std::set<int> laterPartsOf(const Common::job_id&) const;
+    /// The parts of the progress, one after the other, each with the state of the job; one without tasks if none is stored.
+    void visitProgress(const Common::job_id&, const std::function<void(const job_progress&)>&) const;
+    /// Numbers of the parts that are stored.
+    std::set<int> partsOf(const Common::job_id&) const;
     /// State to report to clients. Empty when the job isn't known.
     std::optional<job_state> stateOf(const Common::job_id&) const;
     /// The highest lane that other jobs with the same identifier of the caller use; -1 for none.
@@ -88,7 +89,9 @@
     job_state progressStateOf(job_map::const_iterator) const;
     bool isCancelled(job_map::const_iterator) const;
     std::vector<Common::job_id> unfinished(bool wantsCancelled) const;
-    static void replacePart(known_job&, job_progress, int part);
+    static void replacePart(known_job&, job_progress);
+    /// Forgets what only the leader needs of jobs that aren't finished.
+    static void finish(known_job&);
     /// The job's own record has replaced this part.
     void dropUnscopedPart(const Common::caller_job_id&, int part);
 
--- a/Source/Core/Jobs/ProgressDivision.cpp
+++ b/Source/Core/Jobs/ProgressDivision.cpp
@@ -25,12 +25,24 @@
     return static_cast<int>(position / tasksPerPart);
 }
 
-std::vector<std::vector<task_progress>> progress_division::divide(const job_progress& progress) const
+std::vector<progress_division::task_range> progress_division::rangesOf(int part) const
 {
-    std::vector<std::vector<task_progress>> parts(static_cast<std::size_t>(partCount()));
-    for (const auto& task : progress.tasks)
-        parts.at(static_cast<std::size_t>(partOf(task))).push_back(task);
-    return parts;
+    std::vector<task_range> ranges;
+    auto position = tasksPerPart * part;
+    const auto end = std::min(position + tasksPerPart, m_tasksPerOccurrence * m_occurrences);
+    while (position < end) {
+        const auto inOccurrence = position % m_tasksPerOccurrence;
+        const auto next = std::upper_bound(m_firstTasks.begin(), m_firstTasks.end(), inOccurrence);
+        const auto stepEnd = next == m_firstTasks.end() ? m_tasksPerOccurrence : *next;
+        const auto count = std::min(stepEnd - inOccurrence, end - position);
+        const auto first = inOccurrence - *std::prev(next);
+        ranges.push_back({ .occurrence = static_cast<int>(position / m_tasksPerOccurrence),
+            .step = static_cast<int>(next - m_firstTasks.begin()) - 1,
+            .first = static_cast<int>(first),
+            .last = static_cast<int>(first + count) });
+        position += count;
+    }
+    return ranges;
 }
 
 }
--- a/Source/UnitTests/Core/ControlPlane/JobFeedsTest.cpp
+++ b/Source/UnitTests/Core/ControlPlane/JobFeedsTest.cpp
@@ -160,8 +160,8 @@
     ControlPlane::progress_feed progress(jobRegistry);
     const Common::job_id id { "j" };
     jobRegistry.accept({ .id = id, .queue = { "q" }, .spec = { .steps = { {} } } });
-    const Jobs::job_progress part { .job = id, .tasks = { { .index = 300, .isDone = true } } };
-    progress.apply(ControlPlane::progressRecord(part, 1));
+    const Jobs::job_progress part { .job = id, .part = 1, .tasks = { { .index = 300, .isDone = true } } };
+    progress.apply(ControlPlane::progressRecord(part));
     CHECK(jobRegistry.progressOf(id).tasks == part.tasks);
     CHECK(jobRegistry.progressOf(id).state == Jobs::job_state::Pending);
     const auto key = GENERATE(as<std::string> {}, "j#", "j#x", "j#-1", "j#0", "j#99999999999", "j#1x");
--- a/Source/UnitTests/Core/ControlPlane/LargeJobTest.cpp
+++ b/Source/UnitTests/Core/ControlPlane/LargeJobTest.cpp
@@ -96,11 +96,10 @@
 {
     const Jobs::job_registry registry;
     ControlPlane::progress_writer writer(registry, { .recordBytes = 4000, .appendBytes = 8000 });
-    const Jobs::job_spec spec { .steps = { { .count = 200 } } };
     Jobs::job_progress progress { .job = { "j" }, .state = Jobs::job_state::Running };
     for (int index = 0; index < 20; ++index)
         progress.tasks.push_back({ .index = index, .checkpoint = std::string(index < 10 ? 16 : 1000, 'c'), .run = 1 });
-    const auto records = writer.write(spec, progress);
+    const auto records = writer.write(progress);
     REQUIRE(records.size() == 1);
     CHECK(Records::sizeInAppend(records[0]) <= 4000);
     const auto stored = Jobs::decodeProgress({ "j" }, records[0].value);
--- a/Source/UnitTests/Core/ControlPlane/SameIdentifierTest.cpp
+++ b/Source/UnitTests/Core/ControlPlane/SameIdentifierTest.cpp
@@ -145,7 +145,9 @@
     SECTION("they read the progress of the first job with an identifier")
     {
         CHECK(ControlPlane::progressRecord(started).key == callerKey);
-        CHECK(ControlPlane::progressRecord(started, 3).key == callerKey + "#3");
+        auto later = started;
+        later.part = 3;
+        CHECK(ControlPlane::progressRecord(later).key == callerKey + "#3");
         CHECK(ControlPlane::progressRecord({ .job = job.id, .lanes = { 1 } }).key == job.id.value);
     }
     SECTION("after a leader of theirs between two of the present version, its progress is the newest")
--- a/Source/UnitTests/Core/Dispatch/PlanReferenceTest.cpp
+++ b/Source/UnitTests/Core/Dispatch/PlanReferenceTest.cpp
@@ -73,14 +73,14 @@
                 const auto& state = occurrence.steps[step];
                 if (spec.isBestEffort)
                     continue;
-                const auto open = static_cast<std::int64_t>(state.tasks.size()) - state.done - state.placed;
+                const auto open = static_cast<std::int64_t>(spec.count) - state.done() - state.placed();
                 const bool isReady = job->isReady(occurrence, static_cast<int>(step));
                 if (!isLate && isReady && spec.maxPerWorker > 0)
-                    spread = std::max(spread, (spec.count - state.done + spec.maxPerWorker - 1) / spec.maxPerWorker);
+                    spread = std::max(spread, (spec.count - state.done() + spec.maxPerWorker - 1) / spec.maxPerWorker);
                 (isLate ? demand.late : isReady ? demand.waiting
                                                 : demand.blocked)
                     += Jobs::times(spec.request, open);
-                (isLate ? demand.late : demand.running) += Jobs::times(spec.request, state.placed);
+                (isLate ? demand.late : demand.running) += Jobs::times(spec.request, state.placed());
             }
         }
         return demand;
@@ -155,7 +155,13 @@
     void planStep(open_job& job, std::size_t step, const std::vector<worker_state*>& workers, Common::instant now)
     {
         const auto& spec = job.record().spec.steps[step];
-        auto& tasks = job.occurrences().at(0).steps[step].tasks;
+        const auto& state = job.occurrences().at(0).steps[step];
+        std::vector<Dispatch::task_state> tasks;
+        for (int index = 0; index < spec.count; ++index) {
+            const auto* known = state.find(index);
+            const auto phase = state.isTaskDone(index) ? Dispatch::task_phase::Done : Dispatch::task_phase::Waiting;
+            tasks.push_back(known ? *known : Dispatch::task_state { .phase = phase });
+        }
         std::map<Common::worker_id, int> counts;
         Common::rack_id rack;
         Dispatch::run_number gangRun;
@@ -191,7 +197,7 @@
             ++counts[worker->entry.id];
             if (spec.isRackSensitive && rack.empty())
                 rack = worker->entry.rack;
-            const auto name = Dispatch::taskAt(job.record(), 0, static_cast<int>(step), index);
+            const auto name = Dispatch::taskAt(job.record(), 0, static_cast<int>(step), static_cast<int>(index));
             const Dispatch::run_number run { (spec.isGang ? gangRun : task.lastRun).value + 1 };
             // Members of a gang reserve processor until all of them are placed, even if they are best-effort tasks.
             worker->addRun(name,
