Accepted work has a bound by the memory of a process

Whatever was accepted, each process loads, and nothing compared that with `memoryMb`.

Cause: submissions were accepted without regard to what is open; a pool whose tasks request nothing could have any number of them placed.

Change: a job is counted with an upper bound of the memory that it needs until it is finished (Jobs::heldBytes). The registry sums up the open ones, and work_admission refuses what would exceed a third of `memoryMb` with 503 `too_much_open_work` and Retry-After, before anything is stored, after a look at what other instances have stored, so that the refusal is true for a job that another has. Before an instance has read the others' jobs it takes at most a sixteenth of what is left, or one job. A leader places at most as many tasks as fit a quarter of the memory; a pool gets half of what the others leave, so none can take all places. What was accepted stays and waits.

Evidence: with the check taken out, "What all instances can't hold is refused before it is stored ..." fails (50 jobs are stored); without the limit of places, "A pool whose tasks need nothing ..." saw 4,000 of 4,000 tasks started and none of the other pool's. JobMemoryTest compares the count with the heap for nine shapes of jobs. Core, client and explorer tests pass.

Why it works: what all instances must hold is bounded where it enters, and what one holds beyond that follows the tasks that it places itself.

--- a/Source/Bench/Main.cpp
+++ b/Source/Bench/Main.cpp
@@ -1,4 +1,5 @@
 #include "Bench/Calls.h"
+#include "Bench/JobMemory.h"
 #include "Bench/Latency.h"
 #include "Bench/LeaderBench.h"
 #include "Bench/PolicyBench.h"
@@ -10,7 +11,7 @@
 #include <sstream>
 
 // NOLINTBEGIN(readability-identifier-naming)
-DEFINE_string(mode, "policy", "policy, slopes, leader, latency or calls");
+DEFINE_string(mode, "policy", "policy, slopes, leader, latency, calls or memory");
 DEFINE_uint64(seed, 1, "seed of the load for --mode=policy");
 DEFINE_string(callers, "", "IP:PORT of daemons' listeners for callers, separated by commas");
 DEFINE_string(workers, "", "IP:PORT of workers, separated by commas");
@@ -58,7 +59,7 @@
 int main(int argc, char** argv)
 {
     gflags::SetUsageMessage(
-        "loft-bench --mode=policy|slopes|leader|latency|calls: measures performance; docs/MEASURES.md has the results");
+        "loft-bench --mode=policy|slopes|leader|latency|calls|memory: measures performance; docs/MEASURES.md has the results");
     gflags::ParseCommandLineFlags(&argc, &argv, true);
     if (sodium_init() < 0)
         return 1;
@@ -68,6 +69,8 @@
         Bench::runSlopes();
     else if (FLAGS_mode == "leader")
         Bench::runLeaderBench();
+    else if (FLAGS_mode == "memory")
+        Bench::runJobMemory();
     else if (FLAGS_mode == "calls")
         Bench::runCalls({ .exchanges = FLAGS_exchanges, .lines = FLAGS_lines });
     else
--- a/Source/Core/ControlPlane/EntryNode.cpp
+++ b/Source/Core/ControlPlane/EntryNode.cpp
@@ -155,7 +155,8 @@
         .appender = *m_appender,
         .format = m_parts.jobApiFormat,
         .storeLimits = m_settings.storeLimits,
-        .eventCounters = m_eventCounters });
+        .eventCounters = m_eventCounters,
+        .openJobBytes = m_settings.workLimits.openJobBytes });
     m_views = std::make_unique<view_monitor>(*m_timers);
     m_views->add(view_kind::Registrations, m_workerList);
     m_views->add(view_kind::Rules, m_operators);
@@ -185,7 +186,8 @@
             .stateTopic = m_parts.topics.states,
             .statusTopic = m_parts.topics.status,
             .workerBounds = m_settings.workerBounds,
-            .storeLimits = m_settings.storeLimits });
+            .storeLimits = m_settings.storeLimits,
+            .maxPlacedTasks = m_settings.workLimits.placedTasks });
     m_callerListener = std::make_unique<EventLoop::http_listener>(
         m_parts.loop, m_settings.callers,
         EventLoop::listener_limits { .budget = m_settings.callerBudget }, [this](const EventLoop::http_request& request, const EventLoop::responder& respond) {
@@ -249,6 +251,8 @@
     add("caller_connections_not_admitted", callers.notAdmitted);
     add("caller_requests_rejected", callers.rejected);
     add("jobs", m_jobRegistry.size());
+    add("open_job_bytes", m_jobRegistry.openBytes());
+    add("open_job_bytes_limit", m_settings.workLimits.openJobBytes);
     add("loop_behind", m_load.isBehind() ? 1 : 0);
     add("loop_last_lag_ms", m_load.lag().count());
     add("read_stretch", m_pacing.stretch());
--- a/Source/Core/ControlPlane/EntryNodeSettings.h
+++ b/Source/Core/ControlPlane/EntryNodeSettings.h
@@ -2,6 +2,7 @@
 
 #include "Common/Endpoint.h"
 #include "ControlPlane/LeaderCapacity.h"
+#include "ControlPlane/WorkAdmission.h"
 #include "Dispatch/Orders.h"
 #include "EventLoop/RequestBudget.h"
 #include "Records/RecordStore.h"
@@ -34,6 +35,8 @@
     Common::millis balancerRemovalTime { 2500 };
     Dispatch::worker_bounds workerBounds;
     Records::store_limits storeLimits;
+    /// What the process keeps for accepted work.
+    work_limits workLimits;
     /// Reads that the store takes from all instances together, per second.
     double storeReadsPerSecond { 2000 };
 };
--- a/Source/Core/ControlPlane/JobApi.cpp
+++ b/Source/Core/ControlPlane/JobApi.cpp
@@ -1,7 +1,7 @@
 #include "ControlPlane/JobApi.h"
 
-#include "Common/Logging.h"
 #include "ControlPlane/JobFeeds.h"
+#include "Jobs/HeldBytes.h"
 
 namespace ControlPlane {
 
@@ -31,6 +31,7 @@
 
 job_api::job_api(const job_api_parts& parts)
     : m_parts(parts)
+    , m_admission(parts.openJobBytes)
 {
 }
 
@@ -145,7 +146,33 @@
         refuse(respond, 400, "job_too_large", call.job.value);
         return;
     }
-    m_parts.appender.add({ std::move(record) }, [this, job, call, respond](Records::append_outcome outcome) {
+    if (mayHold(job)) {
+        store(job, std::move(record), respond);
+        return;
+    }
+    // Another instance may have stored the job, so a refusal could be false; or jobs may have ended.
+    m_parts.intake.refresh(staleRefreshTimeout, [this, call, job, record, respond](bool) {
+        if (find(call))
+            respond({ .status = 200, .body = "{}" });
+        else if (mayHold(job))
+            store(job, record, respond);
+        else
+            refuse(respond, 503, "too_much_open_work", call.job.value,
+                { { "job_bytes", std::to_string(Jobs::heldBytes(job)) },
+                    { "open_bytes", std::to_string(m_parts.jobRegistry.openBytes()) },
+                    { "limit_bytes", std::to_string(m_admission.limit()) } });
+    });
+}
+
+bool job_api::mayHold(const Jobs::job_record& job)
+{
+    return m_admission.admit(Jobs::heldBytes(job), m_parts.jobRegistry.openBytes(), m_parts.intake.confirmedAt(), m_parts.timers.now());
+}
+
+void job_api::store(const Jobs::job_record& job, Records::keyed_record record, const responder& respond)
+{
+    m_parts.appender.add({ std::move(record) }, [this, job, respond](Records::append_outcome outcome) {
+        m_admission.settle(Jobs::heldBytes(job));
         if (outcome == Records::append_outcome::Stored) {
             if (m_parts.jobRegistry.accept(job))
                 m_parts.listener.jobAccepted(job.id);
@@ -153,7 +180,7 @@
                 { { "job", job.id.value }, { "queue", job.queue.value }, { "team", job.team.value } });
             respond({ .status = 200, .body = "{}" });
         } else {
-            refuseUnstored(respond, outcome, call.job);
+            refuseUnstored(respond, outcome, Jobs::callerIdOf(job.id));
         }
     });
 }
@@ -248,11 +275,13 @@
         refuse(respond, 504, "maybe_stored", job.value);
 }
 
-void job_api::refuse(const responder& respond, int status, const char* reason, const std::string& job) const
+void job_api::refuse(const responder& respond, int status, const char* reason, const std::string& job,
+    const std::vector<Common::log_field>& inputs) const
 {
     m_parts.eventCounters.add(std::string("refused_") + reason);
-    Common::writeEvent(Common::log_level::Info, Common::log_category::Requests, "refused",
-        { { "job", job }, { "reason", reason }, { "status", std::to_string(status) } });
+    std::vector<Common::log_field> fields { { "job", job }, { "reason", reason }, { "status", std::to_string(status) } };
+    fields.insert(fields.end(), inputs.begin(), inputs.end());
+    Common::writeEvent(Common::log_level::Info, Common::log_category::Requests, "refused", fields);
     EventLoop::http_response response { .status = status, .body = std::string(R"({"error":")") + reason + "\"}" };
     if (status == 429 || status == 503)
         response.headers.push_back({ "Retry-After", retryAfterSeconds });
--- a/Source/Core/ControlPlane/JobApi.h
+++ b/Source/Core/ControlPlane/JobApi.h
@@ -1,7 +1,9 @@
 #pragma once
 
+#include "Common/Logging.h"
 #include "ControlPlane/Counters.h"
 #include "ControlPlane/JobFeeds.h"
+#include "ControlPlane/WorkAdmission.h"
 #include "Entry/ApiCall.h"
 #include "EventLoop/HttpMessages.h"
 #include "Jobs/JobRegistry.h"
@@ -35,6 +37,8 @@
     const job_api_format& format;
     Records::store_limits storeLimits;
     counters& eventCounters;
+    /// Memory for open jobs, by Jobs::heldBytes.
+    std::size_t openJobBytes { work_limits().openJobBytes };
 };
 
 /// Job API for callers: stores jobs and cancellations, reports states and queue lengths. Reads the store first when the
@@ -62,6 +66,9 @@
     void resolve(const EventLoop::http_request&, const EventLoop::responder&, bool isConfirmed);
     void serve(const Entry::api_call&, const EventLoop::http_request&, const EventLoop::responder&);
     void submit(const Entry::api_call&, const EventLoop::http_request&, const EventLoop::responder&);
+    /// Whether all instances can hold the job beside those that are open; it counts from now on if so.
+    bool mayHold(const Jobs::job_record&);
+    void store(const Jobs::job_record&, Records::keyed_record, const EventLoop::responder&);
     void cancel(const Entry::api_call&, const EventLoop::responder&);
     /// The job may be stored yet by an append without an answer, so its cancellation is stored too.
     void cancelUnknown(const Entry::api_call&, const EventLoop::responder&);
@@ -71,9 +78,12 @@
     const Jobs::job_record* find(const Entry::api_call&) const;
     /// Answers a call whose record may be missing from the store.
     void refuseUnstored(const EventLoop::responder&, Records::append_outcome, const Common::caller_job_id&) const;
-    void refuse(const EventLoop::responder&, int status, const char* reason, const std::string& job) const;
+    /// `inputs` are what decided the refusal, for the log.
+    void refuse(const EventLoop::responder&, int status, const char* reason, const std::string& job,
+        const std::vector<Common::log_field>& inputs = {}) const;
 
     job_api_parts m_parts;
+    work_admission m_admission;
     std::optional<Rules::fleet_rules> m_rules;
     /// Checks for newer rules, by number: a call named a queue or key that the present rules don't have.
     std::uint64_t m_checks { 0 };
--- a/Source/Core/ControlPlane/LeaderTerm.cpp
+++ b/Source/Core/ControlPlane/LeaderTerm.cpp
@@ -44,7 +44,8 @@
     , m_options(options)
     , m_dispatcher({ .token = options.token,
                        .runBase = { (options.number - 1) * runsPerTerm },
-                       .bounds = options.workerBounds },
+                       .bounds = options.workerBounds,
+                       .maxPlacedTasks = options.maxPlacedTasks },
           parts.timers.now(), *this)
     , m_progressWriter(parts.jobRegistry, options.storeLimits)
     , m_appender(std::make_shared<Records::batch_appender>(parts.store, parts.timers,
--- a/Source/Core/ControlPlane/LeaderTerm.h
+++ b/Source/Core/ControlPlane/LeaderTerm.h
@@ -7,6 +7,7 @@
 #include "ControlPlane/ProgressWriter.h"
 #include "ControlPlane/StartPermission.h"
 #include "ControlPlane/StatePublisher.h"
+#include "ControlPlane/WorkAdmission.h"
 #include "Dispatch/Dispatcher.h"
 #include "Dispatch/StartWindow.h"
 #include "Dispatch/WorkerGateway.h"
@@ -44,6 +45,7 @@
     std::string writer;
     Dispatch::worker_bounds workerBounds;
     Records::store_limits storeLimits;
+    int maxPlacedTasks { work_limits().placedTasks };
 };
 
 /// One term of the leader: passes events to the dispatcher, sends its orders and stores its progress.
--- a/Source/Core/ControlPlane/LeadershipManager.cpp
+++ b/Source/Core/ControlPlane/LeadershipManager.cpp
@@ -109,7 +109,8 @@
             .statusTopic = m_options.statusTopic,
             .writer = leaderWriter,
             .workerBounds = m_options.workerBounds,
-            .storeLimits = m_options.storeLimits },
+            .storeLimits = m_options.storeLimits,
+            .maxPlacedTasks = m_options.maxPlacedTasks },
         [this] { loseTerm(); });
     m_term->startHeartbeats();
     // The workers and jobs of earlier leaders must be known before anything is started.
--- a/Source/Core/ControlPlane/LeadershipManager.h
+++ b/Source/Core/ControlPlane/LeadershipManager.h
@@ -37,6 +37,7 @@
     Records::topic_partition statusTopic;
     Dispatch::worker_bounds workerBounds;
     Records::store_limits storeLimits;
+    int maxPlacedTasks { work_limits().placedTasks };
 };
 
 /// Takes part in leader election and runs the terms that it wins.
--- a/Source/Core/Dispatch/Dispatcher.h
+++ b/Source/Core/Dispatch/Dispatcher.h
@@ -21,6 +21,8 @@
     run_number runBase;
     lease_options lease;
     worker_bounds bounds;
+    /// No more tasks are placed at a time, up to a gang more; a single pool gets half of what the others leave.
+    int maxPlacedTasks { std::numeric_limits<int>::max() };
 };
 
 struct dispatch_orders {
@@ -178,8 +180,10 @@
         placement_index& workers;
         bool isReconciled { false };
         Common::instant now;
-        /// No more starts are planned once this many haven't been sent.
+        /// No further job is looked at once this many starts haven't been sent.
         std::size_t maxPending { 0 };
+        /// No start is planned once this many haven't been sent, except to complete a gang.
+        std::size_t mostPending { 0 };
         /// Workers on probation, and how many may be at once.
         std::size_t& probations;
         std::size_t maxProbations { 0 };
@@ -227,6 +231,8 @@
 
     void expireLeases(Common::instant now, const leadership_status&);
     int plannedIn(const Common::pool_id&) const;
+    /// How many more tasks may be placed in the pool.
+    int placementsLeft(const Common::pool_id&) const;
     void planStarts(const Common::pool_id&, Common::instant now, Common::wall_millis wall);
     bool mayStart(const task_state&, Common::instant now) const;
     /// Whether a suspected job may have another worker on probation.
--- a/Source/Core/Dispatch/DispatcherStarts.cpp
+++ b/Source/Core/Dispatch/DispatcherStarts.cpp
@@ -46,8 +46,9 @@
     jobs.refresh(wall);
     if (jobs.onTime().empty() && jobs.late().empty())
         return;
-    const int planned = plannedIn(pool);
-    if (planned >= m_startLimits.plannedPerPool)
+    const int mayPlan = m_startLimits.plannedPerPool - plannedIn(pool);
+    const int mayPlace = placementsLeft(pool);
+    if (mayPlan <= 0 || mayPlace <= 0)
         return;
     m_observer.onPlanPart(plan_part::Placement);
     const auto schedulable = schedulableWorkers(pool, now);
@@ -57,7 +58,8 @@
         .workers = workers,
         .isReconciled = isPoolReconciled(pool, now),
         .now = now,
-        .maxPending = m_pendingStarts.size() + static_cast<std::size_t>(m_startLimits.plannedPerPool - planned),
+        .maxPending = m_pendingStarts.size() + static_cast<std::size_t>(std::min(mayPlan, mayPlace)),
+        .mostPending = m_pendingStarts.size() + static_cast<std::size_t>(mayPlace),
         .probations = probations,
         .maxProbations = std::max<std::size_t>(1, schedulable.size() / workersPerProbation) };
     // Jobs that can no longer meet their deadline are worth little, so they come after the others.
@@ -66,6 +68,17 @@
     m_lastPlan.workersExamined += workers.workersExamined();
 }
 
+int dispatcher::placementsLeft(const Common::pool_id& pool) const
+{
+    int inPool = 0;
+    int inOthers = 0;
+    for (const auto& [id, workers] : m_workersOfPools) {
+        for (const auto* worker : workers)
+            (id == pool ? inPool : inOthers) += static_cast<int>(worker->runs.size());
+    }
+    return (m_options.maxPlacedTasks - inOthers) / 2 - inPool;
+}
+
 bool dispatcher::hasRoom(const pool_pass& pass)
 {
     const auto& requests = pass.jobs.readyRequests();
@@ -202,6 +215,8 @@
         const auto* known = tasks.find(*next);
         if ((known && !mayStart(*known, pass.now)) || stopping.contains(name))
             continue;
+        if (m_pendingStarts.size() >= pass.mostPending)
+            return;
         if (!m_usage.allows(m_rules, job.record().team, request.step->request))
             return;
         request.avoided = known ? known->failedOn : Common::worker_id();
--- a/Source/Core/Dispatch/OpenJob.cpp
+++ b/Source/Core/Dispatch/OpenJob.cpp
@@ -1,5 +1,6 @@
 #include "Dispatch/OpenJob.h"
 
+#include "Jobs/HeldBytes.h"
 #include "Jobs/JobNames.h"
 
 #include <algorithm>
@@ -138,7 +139,7 @@
 void open_job::openDue(Common::wall_millis now)
 {
     const auto& spec = m_record.spec;
-    const auto limit = std::max<std::size_t>(1, maxOpenSteps / std::max<std::size_t>(1, spec.steps.size()));
+    const auto limit = static_cast<std::size_t>(Jobs::maxOpenOccurrences(spec));
     for (; m_nextOccurrence < spec.repetitions && m_occurrences.size() < limit; ++m_nextOccurrence) {
         if (spec.firstStart.value + m_nextOccurrence * spec.interval.count() > now.value)
             return;
--- a/Source/Core/Dispatch/OpenJob.h
+++ b/Source/Core/Dispatch/OpenJob.h
@@ -14,8 +14,6 @@
 constexpr std::size_t maxStartCrashes = 2;
 /// A task is also given up when this many workers have crashed that may have run it.
 constexpr std::size_t maxPossibleCrashes = 4;
-/// A job with more occurrences due has at most this many steps open at a time, and at least one occurrence.
-constexpr int maxOpenSteps = 4096;
 /// A task that has run for this long doesn't crash its worker.
 constexpr Common::millis survivalTime { 3000 };
 
--- a/Source/Core/Jobs/JobRegistry.cpp
+++ b/Source/Core/Jobs/JobRegistry.cpp
@@ -1,5 +1,7 @@
 #include "Jobs/JobRegistry.h"
 
+#include "Jobs/HeldBytes.h"
+
 #include <algorithm>
 #include <utility>
 
@@ -25,6 +27,8 @@
     if (job.record)
         return false;
     job.record = std::move(record);
+    job.heldBytes = heldBytes(*job.record);
+    m_openBytes += job.heldBytes;
     if (isFinal(job.state))
         finish(job);
     const auto scope = scopeOf(*job.record);
@@ -81,6 +85,7 @@
 void job_registry::finish(known_job& job)
 {
     job.parts.clear();
+    m_openBytes -= std::exchange(job.heldBytes, 0);
     // Callers ask for the state only.
     if (job.record)
         job.record->spec = {};
@@ -148,7 +153,11 @@
 
 void job_registry::forget(const Common::job_id& id)
 {
-    m_jobs.erase(id.value);
+    const auto found = m_jobs.find(id.value);
+    if (found == m_jobs.end())
+        return;
+    m_openBytes -= found->second.heldBytes;
+    m_jobs.erase(found);
 }
 
 std::pair<job_registry::job_map::const_iterator, job_registry::job_map::const_iterator> job_registry::namesakes(
--- a/Source/Core/Jobs/JobRegistry.h
+++ b/Source/Core/Jobs/JobRegistry.h
@@ -17,6 +17,8 @@
     /// Empty while only a cancellation or progress has been seen.
     std::optional<job_record> record;
     bool isCancelled { false };
+    /// Memory that the job is counted with as long as it is open.
+    std::size_t heldBytes { 0 };
     job_state state { job_state::Pending };
     /// A state was published, or progress stored.
     bool hasState { false };
@@ -72,6 +74,8 @@
     std::vector<Common::job_id> openJobs() const;
     /// Cancelled jobs whose final state isn't stored yet.
     std::vector<Common::job_id> cancelledJobs() const;
+    /// Upper bound of the memory that the open jobs need.
+    std::size_t openBytes() const { return m_openBytes; }
     /// Number of jobs, also those of which only progress or a cancellation is known.
     std::size_t size() const { return m_jobs.size() + m_unscoped.size(); }
 
@@ -89,9 +93,9 @@
     job_state progressStateOf(job_map::const_iterator) const;
     bool isCancelled(job_map::const_iterator) const;
     std::vector<Common::job_id> unfinished(bool wantsCancelled) const;
-    static void replacePart(known_job&, job_progress);
+    void replacePart(known_job&, job_progress);
     /// Forgets what only the leader needs of jobs that aren't finished.
-    static void finish(known_job&);
+    void finish(known_job&);
     /// The job's own record has replaced this part.
     void dropUnscopedPart(const Common::caller_job_id&, int part);
 
@@ -100,6 +104,7 @@
     std::unordered_map<std::string, known_job> m_unscoped;
     /// Cancellations of jobs that aren't known, by the caller's identifier.
     std::unordered_multimap<std::string, caller_scope> m_earlyCancellations;
+    std::size_t m_openBytes { 0 };
 };
 
 }
--- a/Source/Core/Records/PartitionReaderGroup.cpp
+++ b/Source/Core/Records/PartitionReaderGroup.cpp
@@ -31,6 +31,17 @@
     }
 }
 
+std::optional<Common::instant> partition_reader_group::confirmedAt() const
+{
+    std::optional<Common::instant> earliest;
+    for (const auto& reader : m_readers) {
+        if (!reader->confirmedAt())
+            return std::nullopt;
+        earliest = earliest ? std::min(*earliest, *reader->confirmedAt()) : *reader->confirmedAt();
+    }
+    return earliest;
+}
+
 bool partition_reader_group::isLoaded() const
 {
     return std::all_of(
--- a/Source/UnitTests/Core/ControlPlane/JobApiTest.cpp
+++ b/Source/UnitTests/Core/ControlPlane/JobApiTest.cpp
@@ -73,7 +73,8 @@
         void apply(const Records::keyed_record&) override { }
     };
 
-    const Common::job_id job { "0123456789abcdef" };
+    Common::job_id job { "0123456789abcdef" };
+    static constexpr std::size_t openJobBytes = 20'000;
     const Records::topic_partition intakePartition { "intake", 0 };
     /// Queue and team of the calls.
     std::string prefix { "/q/" };
@@ -101,7 +102,8 @@
         .appender = *appender,
         .format = format,
         .storeLimits = { .recordBytes = 2000, .appendBytes = 4000 },
-        .eventCounters = eventCounters } };
+        .eventCounters = eventCounters,
+        .openJobBytes = openJobBytes } };
 };
 
 }
@@ -262,6 +264,47 @@
     CHECK(s.store.appends == appends + 1);
 }
 
+TEST_CASE("What all instances can't hold is refused before it is stored, until jobs have ended", "[station]")
+{
+    job_api_fixture s;
+    std::vector<Common::job_id> stored;
+    int status = 200;
+    for (int number = 0; number < 50 && status == 200; ++number) {
+        s.job.value = "00000000000000" + std::to_string(10 + number);
+        status = s.call("POST", Common::millis(3000));
+        if (status == 200)
+            stored.push_back(s.job);
+    }
+    CHECK(status == 503);
+    CHECK_FALSE(stored.empty());
+    CHECK(s.jobRegistry.openBytes() <= job_api_fixture::openJobBytes);
+    const int appends = s.store.appends;
+    CHECK(s.call("POST", Common::millis(3000)) == 503);
+    CHECK(s.store.appends == appends);
+    CHECK(s.call("GET", Common::millis(3000)) == 410);
+
+    SECTION("a job that is stored already is confirmed")
+    {
+        s.job = stored.front();
+        CHECK(s.call("POST") == 200);
+    }
+    SECTION("also if only another instance knows it")
+    {
+        const auto own = s.job;
+        auto record = s.someJob();
+        record.id = Jobs::jobIdOf({ own.value }, Jobs::scopeOf(record));
+        const auto elsewhere = ControlPlane::jobRecord(record);
+        s.store.put(s.intakePartition, elsewhere.key, elsewhere.value);
+        CHECK(s.call("POST", Common::millis(3000)) == 200);
+        CHECK(s.store.appends == appends);
+    }
+    SECTION("the end of a job makes room")
+    {
+        s.jobRegistry.noteState(s.jobRegistry.find(stored.front())->id, Jobs::job_state::Completed);
+        CHECK(s.call("POST", Common::millis(3000)) == 200);
+    }
+}
+
 TEST_CASE("Two jobs with one identifier on different queues, or of different teams, are both stored, shown and cancelled", "[station]")
 {
     job_api_fixture s;
--- a/Source/UnitTests/Core/Dispatch/DispatcherFixture.h
+++ b/Source/UnitTests/Core/Dispatch/DispatcherFixture.h
@@ -4,6 +4,18 @@
 
 #include <algorithm>
 
+/// All tasks of a step.
+inline std::vector<Dispatch::task_state> tasksOf(const Dispatch::step_state& step)
+{
+    std::vector<Dispatch::task_state> tasks;
+    for (int index = 0; index < step.count(); ++index) {
+        const auto* known = step.find(index);
+        const auto phase = step.isTaskDone(index) ? Dispatch::task_phase::Done : Dispatch::task_phase::Waiting;
+        tasks.push_back(known ? *known : Dispatch::task_state { .phase = phase });
+    }
+    return tasks;
+}
+
 /// A dispatcher with one pool, one queue and one team; the test supplies the workers' replies.
 struct dispatcher_fixture : Dispatch::dispatch_observer {
     static constexpr Common::millis stepTime { 10 };
--- a/Source/UnitTests/Core/Dispatch/JobMemoryTest.cpp
+++ b/Source/UnitTests/Core/Dispatch/JobMemoryTest.cpp
@@ -1,4 +1,5 @@
 #include "DispatcherFixture.h"
+#include "Jobs/HeldBytes.h"
 #include "Jobs/JobRegistry.h"
 
 #include <catch2/catch.hpp>
@@ -121,3 +122,64 @@
     CHECK(ended > 5000);
     CHECK(grownSince(before) < processBytes / 4);
 }
+
+TEST_CASE("The memory with which a job is counted is enough for the registry and the leader", "[job-memory]")
+{
+    const auto now = Common::instant(std::chrono::seconds(1000));
+    for (const int steps : { 1, 2, 64 }) {
+        for (const int repetitions : { 0, 3, 4000 }) {
+            Jobs::job_registry registry;
+            dispatcher_fixture s;
+            const auto before = heapBytes();
+            std::size_t counted = 0;
+            for (int number = 0; number < 40; ++number) {
+                auto record = s.job(std::to_string(number), std::vector(static_cast<std::size_t>(steps), s.step(4000)));
+                record.spec.payload = std::string(static_cast<std::size_t>(number) * 100, 'x');
+                record.spec.repetitions = repetitions;
+                record.spec.firstStart = { 1 };
+                counted += Jobs::heldBytes(record);
+                registry.accept(record);
+                s.dispatcher.addJob(record, { .job = record.id }, now);
+            }
+            CHECK(registry.openBytes() == counted);
+            s.plan();
+            CHECK(grownSince(before) <= counted);
+        }
+    }
+}
+
+TEST_CASE("A pool whose tasks need nothing doesn't take all places for tasks", "[job-memory]")
+{
+    large_jobs_fixture s;
+    Dispatch::dispatcher bounded({ .token = { 7 }, .maxPlacedTasks = 1000 }, s.now, s);
+    bounded.setRules(s.rules);
+    bounded.setLogComplete();
+    auto greedy = s.job("a", { s.step(4000, 0) });
+    greedy.spec.steps[0].request = {};
+    auto other = s.job("b", { s.step(2) });
+    other.queue = { "small" };
+    auto otherWorker = s.worker("w2");
+    otherWorker.pool = { "other" };
+    for (const auto& entry : { s.worker("w1"), otherWorker }) {
+        bounded.workerRegistered(entry, s.now, s.now);
+        auto reply = s.done();
+        reply.outcome = Dispatch::order_outcome::Done;
+        bounded.onPollReply({ .worker = { .id = entry.id, .incarnationStartedAt = { 1000 } } }, { .base = reply }, s.now, s.now);
+    }
+    bounded.addJob(greedy, { .job = greedy.id }, s.now);
+    std::map<std::string, int> starts;
+    const auto planAll = [&] {
+        for (int pass = 0; pass < 20; ++pass) {
+            const Dispatch::leadership_status status { .isHeld = true, .confirmedUntil = s.now + std::chrono::seconds(1) };
+            for (const auto& start : bounded.plan(s.now, s.wall(), status).starts)
+                ++starts[start.task.job.value];
+            bounded.onCommitted(bounded.takeCommit(), s.now);
+        }
+    };
+    planAll();
+    CHECK(starts["a"] == 500);
+    bounded.addJob(other, { .job = other.id }, s.now);
+    planAll();
+    CHECK(starts["a"] <= 500);
+    CHECK(starts["b"] == 2);
+}
--- a/Source/UnitTests/Core/Dispatch/PlanReferenceTest.cpp
+++ b/Source/UnitTests/Core/Dispatch/PlanReferenceTest.cpp
@@ -155,13 +155,7 @@
     void planStep(open_job& job, std::size_t step, const std::vector<worker_state*>& workers, Common::instant now)
     {
         const auto& spec = job.record().spec.steps[step];
-        const auto& state = job.occurrences().at(0).steps[step];
-        std::vector<Dispatch::task_state> tasks;
-        for (int index = 0; index < spec.count; ++index) {
-            const auto* known = state.find(index);
-            const auto phase = state.isTaskDone(index) ? Dispatch::task_phase::Done : Dispatch::task_phase::Waiting;
-            tasks.push_back(known ? *known : Dispatch::task_state { .phase = phase });
-        }
+        auto tasks = tasksOf(job.occurrences().at(0).steps[step]);
         std::map<Common::worker_id, int> counts;
         Common::rack_id rack;
         Dispatch::run_number gangRun;
