--- a/Source/Core/Dispatch/Dispatcher.h
+++ b/Source/Core/Dispatch/Dispatcher.h
@@ -181,9 +181,9 @@
         bool isReconciled { false };
         Common::instant now;
         /// No further job is looked at once this many starts haven't been sent.
-        std::size_t maxPending { 0 };
+        std::size_t pendingLimitOfJobs { 0 };
         /// No start is planned once this many haven't been sent, except to complete a gang.
-        std::size_t mostPending { 0 };
+        std::size_t pendingLimit { 0 };
         /// Workers on probation, and how many may be at once.
         std::size_t& probations;
         std::size_t maxProbations { 0 };
--- a/Source/Core/Dispatch/DispatcherReplies.cpp
+++ b/Source/Core/Dispatch/DispatcherReplies.cpp
@@ -464,8 +464,11 @@
     const auto& spec = job.spec(name);
     if (!spec.isLongRunning)
         return true;
+    const auto occurrence = job.occurrences().find(name.occurrence);
+    if (occurrence == job.occurrences().end())
+        return true;
     int others = 0;
-    for (const auto& [index, task] : job.occurrences().at(name.occurrence).steps[static_cast<std::size_t>(name.step)].tracked()) {
+    for (const auto& [index, task] : occurrence->second.steps[static_cast<std::size_t>(name.step)].tracked()) {
         if (index == name.index || task.phase != task_phase::Placed)
             continue;
         const auto worker = m_workers.find(task.worker);
--- a/Source/Core/Dispatch/DispatcherStarts.cpp
+++ b/Source/Core/Dispatch/DispatcherStarts.cpp
@@ -58,8 +58,8 @@
         .workers = workers,
         .isReconciled = isPoolReconciled(pool, now),
         .now = now,
-        .maxPending = m_pendingStarts.size() + static_cast<std::size_t>(std::min(mayPlan, mayPlace)),
-        .mostPending = m_pendingStarts.size() + static_cast<std::size_t>(mayPlace),
+        .pendingLimitOfJobs = m_pendingStarts.size() + static_cast<std::size_t>(std::min(mayPlan, mayPlace)),
+        .pendingLimit = m_pendingStarts.size() + static_cast<std::size_t>(mayPlace),
         .probations = probations,
         .maxProbations = std::max<std::size_t>(1, schedulable.size() / workersPerProbation) };
     // Jobs that can no longer meet their deadline are worth little, so they come after the others.
@@ -90,7 +90,7 @@
 bool dispatcher::planJobs(const std::vector<open_job*>& jobs, const pool_pass& pass)
 {
     for (auto* job : jobs) {
-        if (m_pendingStarts.size() >= pass.maxPending)
+        if (m_pendingStarts.size() >= pass.pendingLimitOfJobs)
             return false;
         ++m_lastPlan.jobsExamined;
         if (Jobs::isFinal(job->state) || !mayGoOn(*job, pass.now))
@@ -215,7 +215,7 @@
         const auto* known = tasks.find(*next);
         if ((known && !mayStart(*known, pass.now)) || stopping.contains(name))
             continue;
-        if (m_pendingStarts.size() >= pass.mostPending)
+        if (m_pendingStarts.size() >= pass.pendingLimit)
             return;
         if (!m_usage.allows(m_rules, job.record().team, request.step->request))
             return;
--- a/Source/Core/Dispatch/DispatcherTakeover.cpp
+++ b/Source/Core/Dispatch/DispatcherTakeover.cpp
@@ -60,7 +60,7 @@
 void dispatcher::inherit(open_job& job, const Jobs::task_progress& known, Common::instant now)
 {
     const Jobs::task_name name { job.record().id, known.occurrence, known.step, known.index };
-    if (!job.find(name))
+    if (const auto* task = job.find(name); !task || task->phase == task_phase::Done)
         return;
     const auto* queue = queueOf(job);
     auto& worker = expectWorker(known.worker, queue ? queue->pool : Common::pool_id(), now);
--- a/Source/Core/Dispatch/StepState.h
+++ b/Source/Core/Dispatch/StepState.h
@@ -54,7 +54,6 @@
     /// Tasks that are neither done nor placed.
     int waiting() const { return m_count - m_done - m_placed; }
     bool isDone() const { return m_done == m_count; }
-    bool contains(int index) const { return index >= 0 && index < m_count; }
     bool isTaskDone(int index) const;
 
     /// State of a task that isn't done; kept from now on. `firstRun` is its last run if it has none.
